Workspace, shared types and design

Cause: an empty repository. Ruled out: protobuf for datagrams (decoding allocates) and a flow table at the balancers (any packet may reach any of them). Conclusion: the interfaces stand; the decisions are declared, not yet defined.

--- /dev/null
+++ b/packages/core/include/radishspread/core/rs_agent.hpp
@@ -0,0 +1,59 @@
+#ifndef RADISHSPREAD_CORE_RS_AGENT_HPP
+#define RADISHSPREAD_CORE_RS_AGENT_HPP
+
+#include <radishspread/core/rs_agent_options.hpp>
+#include <radishspread/core/rs_backend_event.hpp>
+#include <radishspread/core/rs_document.hpp>
+#include <radishspread/core/rs_forward.hpp>
+#include <radishspread/core/rs_handover.hpp>
+#include <radishspread/core/rs_handover_reply.hpp>
+#include <radishspread/core/rs_sinks.hpp>
+#include <radishspread/core/rs_stop_event.hpp>
+
+namespace radishspread {
+
+/// Decisions of an agent: which flows and requests its backend server takes,
+/// when each request is dispatched, and what each caller is told.
+class agent {
+public:
+    explicit agent(agent_options options);
+
+    template <agent_sink Sink> void start(instant now, Sink& sink);
+
+    template <agent_sink Sink>
+    void handle(instant now, forward const& message, Sink& sink);
+    template <agent_sink Sink>
+    void handle(instant now, backend_event const& event, Sink& sink);
+    template <agent_sink Sink>
+    void handle(instant now, handover const& message, Sink& sink);
+    template <agent_sink Sink>
+    void handle(instant now, handover_reply const& message, Sink& sink);
+    template <agent_sink Sink>
+    void handle(instant now, stop_event const& event, Sink& sink);
+
+    /// Events of the document: see `document::handle`.
+    template <class Event, agent_sink Sink>
+    requires requires(
+        document& it, instant now, Event const& event, Sink& sink) {
+        it.handle(now, event, sink);
+    }
+    void handle(instant now, Event const& event, Sink& sink);
+
+    template <agent_sink Sink> void tick(instant now, Sink& sink);
+
+    /// True once a stop was asked for and nothing is left to do.
+    [[nodiscard]] bool is_finished(instant now) const;
+
+    /// Requests dispatched and not yet ended, for the count at a forced stop.
+    [[nodiscard]] std::size_t outstanding() const;
+
+    [[nodiscard]] document const& view() const;
+
+private:
+    agent_options options_;
+    document document_;
+};
+
+} // namespace radishspread
+
+#endif
--- /dev/null
+++ b/packages/wire/include/radishspread/wire/rs_codec.hpp
@@ -0,0 +1,61 @@
+#ifndef RADISHSPREAD_WIRE_RS_CODEC_HPP
+#define RADISHSPREAD_WIRE_RS_CODEC_HPP
+
+#include <radishspread/core/rs_deliver.hpp>
+#include <radishspread/core/rs_fleet_key.hpp>
+#include <radishspread/core/rs_forward.hpp>
+#include <radishspread/core/rs_handover.hpp>
+#include <radishspread/core/rs_handover_reply.hpp>
+#include <radishspread/core/rs_peer_digest.hpp>
+
+#include <cstddef>
+#include <memory>
+#include <span>
+#include <system_error>
+#include <variant>
+
+namespace radishspread::wire {
+
+/// Largest datagram of any kind, in bytes.
+inline constexpr std::size_t max_datagram = 1400;
+
+/// A message between our processes.
+using peer_message =
+    std::variant<forward, deliver, peer_digest, handover, handover_reply>;
+
+/// Encodes messages into datagrams. Reuses one buffer: a returned view is valid
+/// until the next call. Messages between our processes get the fleet's tag.
+class encoder {
+public:
+    explicit encoder(fleet_key key);
+    ~encoder();
+    encoder(encoder&&) noexcept;
+    encoder& operator=(encoder&&) noexcept;
+
+    [[nodiscard]] std::span<std::byte const> encode(caller_packet const& it);
+    [[nodiscard]] std::span<std::byte const> encode(caller_reply const& it);
+    [[nodiscard]] std::span<std::byte const> encode(forward const& it);
+    [[nodiscard]] std::span<std::byte const> encode(deliver const& it);
+    [[nodiscard]] std::span<std::byte const> encode(peer_digest const& it);
+    [[nodiscard]] std::span<std::byte const> encode(handover const& it);
+    [[nodiscard]] std::span<std::byte const> encode(handover_reply const& it);
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+/// Decode a datagram. Views in `out` point into `data`. Errors are of
+/// `wire_category()`; `out` is unspecified after one.
+[[nodiscard]] std::error_code decode(
+    std::span<std::byte const> data, caller_packet& out);
+[[nodiscard]] std::error_code decode(
+    std::span<std::byte const> data, caller_reply& out);
+
+/// Also checks the fleet's tag, before anything else is read.
+[[nodiscard]] std::error_code decode(
+    fleet_key const& key, std::span<std::byte const> data, peer_message& out);
+
+} // namespace radishspread::wire
+
+#endif
