Caller session: the caller's side of the flow protocol

Cause: the promises on at-most-once requests and complete answers need rules that hold at the caller: adopt one cookie only, never repeat an ended request, complete an answer from the received offset. Ruled out: leaving these rules to each caller, and to the test code alone.

--- a/cmake/RadishspreadTargets.cmake
+++ b/cmake/RadishspreadTargets.cmake
@@ -1,7 +1,9 @@
 # Flags shared by every target of the workspace.
 add_library(radishspread_flags INTERFACE)
 target_compile_options(
-    radishspread_flags INTERFACE -Wall -Wextra -Wpedantic -Wshadow)
+    # Designated initialisers leave members at their defaults on purpose.
+    radishspread_flags INTERFACE -Wall -Wextra -Wpedantic -Wshadow
+                                 -Wno-missing-field-initializers)
 if(RADISHSPREAD_SANITIZE)
     # GCC 12 reports false array bounds in instrumented code, so warnings are
     # errors only in the other presets.
--- a/packages/caller/include/radishspread/caller/rs_caller_session.hpp
+++ b/packages/caller/include/radishspread/caller/rs_caller_session.hpp
@@ -1,82 +1,98 @@
 #ifndef RADISHSPREAD_CALLER_RS_CALLER_SESSION_HPP
 #define RADISHSPREAD_CALLER_RS_CALLER_SESSION_HPP
 
-#include <radishspread/core/rs_caller_packet.hpp>
+#include <radishspread/caller/internal/rs_pending_request.hpp>
+#include <radishspread/caller/rs_caller_session_options.hpp>
+#include <radishspread/caller/rs_caller_sink.hpp>
 #include <radishspread/core/rs_caller_reply.hpp>
-#include <radishspread/core/rs_time.hpp>
 
+#include <algorithm>
 #include <cstddef>
-#include <cstdint>
-#include <string>
+#include <optional>
 #include <vector>
 
 namespace radishspread {
 
-/// Settings of a caller's flow.
-struct caller_session_options {
-    service_id service = 0;
-    flow_id flow = 0;
-    duration retransmit_minimum = std::chrono::milliseconds(200);
-    duration retransmit_maximum = std::chrono::seconds(2);
-    duration open_deadline = std::chrono::seconds(10);
-    duration keepalive_interval = std::chrono::seconds(15);
-};
-
-/// What became of a request.
-enum class request_result : std::uint8_t { answered, not_run, unknown };
-
-/// A request that ended.
-struct finished_request {
-    request_id request = 0;
-    request_result result = request_result::unknown;
-    radishspread::reason reason = radishspread::reason::none;
-    std::uint16_t status = 0;
-    std::vector<std::byte> body;
-};
-
-/// Actions of a caller's flow.
-template <class Sink>
-concept caller_sink = requires(
-    Sink& sink, caller_packet const& packet, finished_request& it) {
-    sink.send(packet);
-    sink.finished(it);
-    sink.flow_lost(reason{}); // the flow was reset or never opened
-};
-
 /// The caller's side of one flow: opens it, echoes its cookie, retransmits,
 /// and assembles answers. It has no socket and no clock.
 ///
-/// Rules that the promises depend on: only the first cookie is adopted (until
-/// `moved`), a request that has ended is never sent again, and a request whose
-/// result is unknown is never repeated on another flow by this class.
+/// Rules that the promises depend on: only the first cookie is adopted, until
+/// `moved` replaces it; a request that has ended is never sent again; a request
+/// whose result is unknown is never repeated on another flow by this class.
 class caller_session {
 public:
+    /// Most requests that may be outstanding; half of the agent's window, so
+    /// that reordering cannot push a request out of it.
+    static constexpr std::size_t max_outstanding = 32;
+
     explicit caller_session(caller_session_options options);
 
     template <caller_sink Sink> void open(instant now, Sink& sink);
 
-    /// Starts a request; at most 32 may be outstanding. Returns its id.
+    /// Starts a request and returns its id, or 0 if the flow is lost or too
+    /// many requests are outstanding. `payload` is at most `max_payload` bytes.
     template <caller_sink Sink>
     request_id request(instant now, std::vector<std::byte> payload,
-        bool idempotent, duration deadline, Sink& sink);
+        bool idempotent, duration deadline, Sink& sink,
+        trace_context const& trace = {});
 
+    /// Gives up a request; it ends as not run if it was never sent.
     template <caller_sink Sink>
     void cancel(instant now, request_id id, Sink& sink);
+
+    /// Ends the flow. Outstanding requests end as not run or unknown.
     template <caller_sink Sink> void close(instant now, Sink& sink);
+
     template <caller_sink Sink>
     void handle(instant now, caller_reply const& reply, Sink& sink);
 
     /// Retransmits, sends keepalives and ends requests past their deadline.
     template <caller_sink Sink> void tick(instant now, Sink& sink);
 
-    [[nodiscard]] bool is_open() const;
-    [[nodiscard]] bool is_lost() const;
-    [[nodiscard]] std::size_t outstanding() const;
+    [[nodiscard]] bool is_open() const { return cookie_ && !is_lost_; }
+    [[nodiscard]] bool is_lost() const { return is_lost_; }
+    [[nodiscard]] std::size_t outstanding() const { return pending_.size(); }
+    [[nodiscard]] std::optional<route_cookie> const& cookie() const {
+        return cookie_;
+    }
 
 private:
+    [[nodiscard]] caller_packet make_packet(packet_kind kind) const;
+    [[nodiscard]] internal::pending_request* find(request_id id);
+    [[nodiscard]] bool is_from_current_agent(caller_reply const& reply) const;
+
+    template <class Sink> void send_open(instant now, Sink& sink);
+    template <class Sink>
+    void send_request(instant now, internal::pending_request& it, Sink& sink);
+    template <class Sink> void send_all(instant now, Sink& sink);
+    template <class Sink>
+    void finish(request_id id, request_result result, reason why, Sink& sink);
+    template <class Sink> void lose(reason why, Sink& sink);
+    template <class Sink>
+    void on_opened(instant now, caller_reply const& reply, Sink& sink);
+    template <class Sink>
+    void on_answer(instant now, caller_reply const& reply, Sink& sink);
+    template <class Sink>
+    void on_refused(caller_reply const& reply, Sink& sink);
+    template <class Sink> void on_reset(caller_reply const& reply, Sink& sink);
+    template <class Sink>
+    void on_moved(instant now, caller_reply const& reply, Sink& sink);
+
     caller_session_options options_;
+    std::optional<route_cookie> cookie_;
+    std::vector<internal::pending_request> pending_;
+    request_id last_id_ = 0;
+    std::uint8_t attempt_ = 0;
+    bool is_opening_ = false;
+    bool is_lost_ = false;
+    instant open_deadline_;
+    instant next_open_;
+    instant next_keepalive_;
+    duration open_interval_{0};
 };
 
 } // namespace radishspread
 
+#include <radishspread/caller/internal/rs_caller_session_impl.hpp>
+
 #endif
