--- a/packages/wire/include/radishspread/wire/rs_codec.hpp
+++ b/packages/wire/include/radishspread/wire/rs_codec.hpp
@@ -24,7 +24,8 @@
     std::variant<forward, deliver, peer_digest, handover, handover_reply>;
 
 /// Encodes messages into datagrams. Reuses one buffer: a returned view is valid
-/// until the next call. Messages between our processes get the fleet's tag.
+/// until the next call. Messages between our processes get the fleet's tag. A
+/// message with a value out of its range gives an empty view.
 class encoder {
 public:
     explicit encoder(fleet_key key);
--- /dev/null
+++ b/packages/wire/include/radishspread/wire/rs_wire_limits.hpp
@@ -0,0 +1,27 @@
+#ifndef RADISHSPREAD_WIRE_RS_WIRE_LIMITS_HPP
+#define RADISHSPREAD_WIRE_RS_WIRE_LIMITS_HPP
+
+#include <cstddef>
+#include <cstdint>
+
+namespace radishspread::wire {
+
+/// Longest name of a section in a digest, in bytes. Eight names of this length
+/// still fit a datagram.
+inline constexpr std::size_t max_name = 128;
+
+/// Longest response, in bytes. Bounds what a caller allocates because of one
+/// packet.
+inline constexpr std::uint32_t max_response = 1U << 20U;
+
+/// Largest number of a failure domain.
+inline constexpr std::uint16_t max_domain = 64;
+
+/// Most agents that may have forwarded a packet. An opening is forwarded at
+/// most 3 times; a packet of a flow that was handed over several times more
+/// often. The bound ends a loop.
+inline constexpr std::uint8_t max_passes = 16;
+
+} // namespace radishspread::wire
+
+#endif
