Document component: section table, reads, watch, peers, view proof

Cause: both cores need one owner of the section table that decides which revision is in effect and whether the view is proven fresh.

Ruled out: proving the view by any answer of the configuration service, since a watch for changes says nothing about staleness. Only a whole list that names nothing older than what is held, or a reply of a proven peer to a nonce of this round, counts, and both are awaited for 2 s.

A refused revision is remembered; refused services are read again when `domains` or another service changes. discard_queued now also covers answers still to come.

--- /dev/null
+++ b/packages/core/include/radishspread/core/internal/rs_log_limiter.hpp
@@ -0,0 +1,32 @@
+#ifndef RADISHSPREAD_CORE_INTERNAL_RS_LOG_LIMITER_HPP
+#define RADISHSPREAD_CORE_INTERNAL_RS_LOG_LIMITER_HPP
+
+#include <radishspread/core/rs_time.hpp>
+
+#include <cstdint>
+
+namespace radishspread::internal {
+
+/// Lets one event a second pass and counts the others, so that bad input at
+/// line rate does not fill the log.
+class log_limiter {
+public:
+    /// Number of events that this one stands for, or 0 if it is suppressed.
+    [[nodiscard]] std::int64_t count(instant now) {
+        ++pending_;
+        if (now < next_)
+            return 0;
+        next_ = now + std::chrono::seconds(1);
+        auto const n = pending_;
+        pending_ = 0;
+        return n;
+    }
+
+private:
+    instant next_;
+    std::int64_t pending_ = 0;
+};
+
+} // namespace radishspread::internal
+
+#endif
--- /dev/null
+++ b/packages/core/include/radishspread/core/internal/rs_section_table.hpp
@@ -0,0 +1,101 @@
+#ifndef RADISHSPREAD_CORE_INTERNAL_RS_SECTION_TABLE_HPP
+#define RADISHSPREAD_CORE_INTERNAL_RS_SECTION_TABLE_HPP
+
+#include <radishspread/core/rs_ids.hpp>
+#include <radishspread/core/rs_section.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace radishspread::internal {
+
+/// What became of a section offered to the table.
+enum class insert_result : std::uint8_t {
+    accepted,
+    not_newer,       ///< The same or a newer revision is in effect.
+    wrong_content,   ///< The content does not belong under this name.
+    too_large,       ///< A bound on text or failure domains is exceeded.
+    table_full,      ///< The table holds `max_sections` others.
+    service_claimed, ///< Another section has this service id or port.
+};
+
+/// Largest text of one section, in bytes; the configuration service's limit.
+inline constexpr std::size_t max_section_text = 1U << 20U;
+
+/// Most failure domains; their ids index a 64-bit set.
+inline constexpr domain_id max_domains = 64;
+
+/// Name of the section that lists the failure domains.
+inline constexpr std::string_view domains_name = "domains";
+
+/// Sections in effect, by name and by service. Revisions only grow.
+class section_table {
+public:
+    using map_type = std::map<std::string, section_ptr, std::less<>>;
+
+    section_table(std::size_t max_sections, std::size_t max_text);
+
+    insert_result insert(section_ptr const& value);
+
+    [[nodiscard]] section_ptr find(std::string_view name) const;
+    [[nodiscard]] revision held(std::string_view name) const;
+    /// Section of a service, or null.
+    [[nodiscard]] section const* service(service_id id) const;
+    [[nodiscard]] revision domains_revision() const {
+        return domains_revision_;
+    }
+    [[nodiscard]] bool is_out(domain_id id) const {
+        return id >= 1 && id <= max_domains && (out_ >> (id - 1U) & 1U) != 0;
+    }
+    [[nodiscard]] bool is_leaving(std::string_view host) const {
+        return leaving_.find(host) != leaving_.end();
+    }
+    /// Sum of a hash of each name and revision, in any order.
+    [[nodiscard]] std::uint64_t view_hash() const { return view_hash_; }
+    /// Sections accepted so far, except those of services.
+    [[nodiscard]] std::uint64_t shared_changes() const {
+        return shared_changes_;
+    }
+    /// Sections of services accepted so far.
+    [[nodiscard]] std::uint64_t service_changes() const {
+        return service_changes_;
+    }
+    /// Most recently accepted sections, newest first.
+    [[nodiscard]] std::span<section_ptr const> recent() const {
+        return recent_;
+    }
+    [[nodiscard]] map_type const& sections() const { return sections_; }
+
+private:
+    [[nodiscard]] insert_result check(section const& it) const;
+    [[nodiscard]] insert_result check_service(section const& it) const;
+    void apply_service(section_ptr const& value, section const* previous);
+    void apply_domains(section const& value);
+    void apply_hosts();
+    void note_recent(section_ptr const& value);
+
+    std::size_t max_sections_;
+    std::size_t max_text_;
+    std::size_t text_ = 0;
+    map_type sections_;
+    std::unordered_map<service_id, section_ptr> services_;
+    std::unordered_map<std::uint16_t, service_id> ports_;
+    std::set<std::string, std::less<>> leaving_;
+    std::vector<section_ptr> recent_;
+    std::uint64_t out_ = 0;
+    revision domains_revision_ = 0;
+    std::uint64_t view_hash_ = 0;
+    std::uint64_t shared_changes_ = 0;
+    std::uint64_t service_changes_ = 0;
+};
+
+} // namespace radishspread::internal
+
+#endif
--- a/packages/core/include/radishspread/core/rs_document.hpp
+++ b/packages/core/include/radishspread/core/rs_document.hpp
@@ -1,16 +1,29 @@
 #ifndef RADISHSPREAD_CORE_RS_DOCUMENT_HPP
 #define RADISHSPREAD_CORE_RS_DOCUMENT_HPP
 
+#include <radishspread/core/internal/rs_jitter.hpp>
+#include <radishspread/core/internal/rs_log_limiter.hpp>
+#include <radishspread/core/internal/rs_peer_table.hpp>
+#include <radishspread/core/internal/rs_read_schedule.hpp>
+#include <radishspread/core/internal/rs_section_table.hpp>
+#include <radishspread/core/internal/rs_view_proof.hpp>
+#include <radishspread/core/internal/rs_watch_state.hpp>
+#include <radishspread/core/rs_document_events.hpp>
 #include <radishspread/core/rs_document_options.hpp>
 #include <radishspread/core/rs_section_event.hpp>
 #include <radishspread/core/rs_sinks.hpp>
 #include <radishspread/core/rs_time.hpp>
 #include <radishspread/core/rs_watch_event.hpp>
 
-#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
 
 namespace radishspread {
 
+/// Time for which the configuration service may hold a watch.
+inline constexpr duration watch_wait = std::chrono::seconds(25);
+
 /// The shared document as one process knows it: the sections in effect, when
 /// to read which one from where, and whether the view is proven fresh.
 ///
@@ -21,7 +34,7 @@
 public:
     explicit document(document_options options);
 
-    /// Begins the first watch and asks a peer for its digest.
+    /// Begins the first watch and asks peers for their digests.
     template <document_sink Sink> void start(instant now, Sink& sink);
 
     template <document_sink Sink>
@@ -67,10 +80,82 @@
     /// Names and revisions of all sections in effect.
     [[nodiscard]] std::vector<digest_entry> index() const;
 
+    /// Counts sections accepted: those of services, and all others. Tables
+    /// derived from the sections are rebuilt when a count has grown.
+    [[nodiscard]] std::uint64_t service_changes() const;
+    [[nodiscard]] std::uint64_t shared_changes() const;
+    /// All sections in effect, by name.
+    [[nodiscard]] internal::section_table::map_type const& sections() const;
+
 private:
+    using entry_list = decltype(peer_digest::entries);
+
+    template <document_sink Sink> void begin_proof(instant now, Sink& sink);
+    template <document_sink Sink> void check_proof(instant now, Sink& sink);
+    template <document_sink Sink>
+    void send_watch(instant now, std::uint64_t after, Sink& sink);
+    template <document_sink Sink> void run_watch(instant now, Sink& sink);
+    template <document_sink Sink> void run_reads(instant now, Sink& sink);
+    template <document_sink Sink> void run_digests(instant now, Sink& sink);
+    template <document_sink Sink>
+    void ask_peer(endpoint peer, std::uint64_t nonce, Sink& sink);
+    template <document_sink Sink>
+    void answer_peer(peer_digest const& request, Sink& sink);
+    template <document_sink Sink>
+    void compare(instant now, peer_digest const& digest, Sink& sink);
+    template <document_sink Sink>
+    void use_proof_reply(instant now, peer_digest const& digest, Sink& sink);
+    template <document_sink Sink>
+    void pull_index(instant now, endpoint peer, bool is_proof, Sink& sink);
+    template <document_sink Sink>
+    void want(instant now, digest_entry const& seen, endpoint peer,
+        duration delay, Sink& sink);
+    template <document_sink Sink>
+    void accept(instant now, section_ptr const& value, Sink& sink);
+    template <document_sink Sink>
+    void reject(instant now, section_event const& event,
+        internal::insert_result result, Sink& sink);
+    template <document_sink Sink>
+    void retry_read(
+        instant now, std::string_view name, endpoint peer, Sink& sink);
+    template <document_sink Sink>
+    void watch_answered(instant now, watch_event const& event, Sink& sink);
+    template <document_sink Sink>
+    void report(Sink& sink, std::uint16_t number, std::string_view name,
+        std::uint64_t value, endpoint peer = {}) const;
+
+    [[nodiscard]] bool needs(std::string_view name) const;
+    [[nodiscard]] bool may_read(std::string_view name) const;
+    [[nodiscard]] bool is_settled() const;
+    [[nodiscard]] bool covers_needs(peer_digest const& digest) const;
+    [[nodiscard]] bool is_behind(peer_digest const& digest) const;
+    [[nodiscard]] peer_digest make_digest(
+        std::uint64_t nonce, bool is_reply) const;
+    void add_entry(entry_list& to, std::string_view name) const;
+    void add_own_entries(entry_list& to) const;
+    [[nodiscard]] duration backoff(unsigned failures);
+
     document_options options_;
+    std::string service_name_; ///< Agent: name of its service's section.
+    std::string hosts_name_;   ///< Agent: name of its host list.
+    internal::jitter random_;
+    internal::section_table table_;
+    internal::read_schedule reads_;
+    internal::peer_table peers_;
+    internal::watch_state watch_;
+    internal::view_proof proof_;
+    internal::log_limiter read_log_;
+    internal::log_limiter older_log_;
+    internal::log_limiter full_log_;
+    bool is_started_ = false;
+    instant last_event_;
+    instant next_digest_;
+    instant next_index_; ///< Earliest time of the next pull of an index.
 };
 
 } // namespace radishspread
 
+#include <radishspread/core/internal/rs_document_impl.hpp>
+#include <radishspread/core/internal/rs_document_peers_impl.hpp>
+
 #endif
--- a/packages/core/include/radishspread/core/rs_sinks.hpp
+++ b/packages/core/include/radishspread/core/rs_sinks.hpp
@@ -24,12 +24,14 @@
     std::string_view name, std::uint64_t after, peer_digest const& digest,
     section_ptr const& value, log_event const& event) {
     sink.read_section(name);        // from the configuration service
-    sink.watch(after);              // one long poll at the service
+    sink.watch(after);              // one long poll; replaces the last one
     sink.pull_section(peer, name);  // from a peer
     sink.pull_index(peer);          // all names and revisions of a peer
     sink.send_digest(peer, digest); // to a peer, by UDP
     sink.section_in_force(value);   // a newer revision is now in force
-    sink.discard_queued();          // drop everything received but not read
+    // Drop everything received but not read, and the answers still to come to
+    // reads, pulls and the watch: they may be older than the pause.
+    sink.discard_queued();
     sink.log(event);
 };
 
