Settings and document section parsers

Cause: every fault in settings and sections has to be reported at once with its place, and a broken section must not exhaust a process. Change: packages/config reads yaml-cpp's parser events into a small tree with limits on nesting, values and text; readers for each section and the settings; examples of both roles and both documents; numbered events of settings and datagrams. Conclusion: other packages can parse settings and sections.

--- /dev/null
+++ b/packages/config/include/radishspread/config/internal/rs_map_reader.hpp
@@ -0,0 +1,119 @@
+#ifndef RADISHSPREAD_CONFIG_INTERNAL_RS_MAP_READER_HPP
+#define RADISHSPREAD_CONFIG_INTERNAL_RS_MAP_READER_HPP
+
+#include <radishspread/config/internal/rs_fault_list.hpp>
+#include <radishspread/config/internal/rs_yaml_node.hpp>
+#include <radishspread/core/rs_endpoint.hpp>
+
+#include <concepts>
+#include <cstdint>
+#include <limits>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace radishspread::config::internal {
+
+/// Longest name of a service, backend server, host or failure domain. With its
+/// prefix a section name stays under the 128 bytes that a digest carries.
+inline constexpr std::size_t max_name = 64;
+
+/// Whether a missing key is a fault.
+enum class presence : std::uint8_t { required, optional };
+
+/// Reads the keys of one map and reports everything that is wrong with them:
+/// duplicate, missing and unknown keys, wrong types, values out of range.
+/// Each function returns empty if the value is missing or faulty.
+class map_reader {
+public:
+    map_reader(yaml_node const& node, std::string path, fault_list& faults);
+
+    /// Value of `key`, of any type.
+    yaml_node const* find(std::string_view key, presence need);
+
+    template <std::integral Integer>
+    std::optional<Integer> integer(std::string_view key, Integer least,
+        Integer most = std::numeric_limits<Integer>::max(),
+        presence need = presence::required) {
+        auto const it = number(key, static_cast<std::int64_t>(least),
+            static_cast<std::int64_t>(most), need);
+        if (!it)
+            return std::nullopt;
+        return static_cast<Integer>(*it);
+    }
+
+    std::optional<double> fraction(std::string_view key, double least,
+        double most, presence need = presence::required);
+
+    /// Any text that is not empty.
+    std::optional<std::string> text(
+        std::string_view key, presence need = presence::required);
+
+    /// 1 to 64 letters, digits, '.', '_' or '-', not starting with '.' or '-'.
+    std::optional<std::string> name(
+        std::string_view key, presence need = presence::required);
+
+    std::optional<endpoint> address_and_port(
+        std::string_view key, presence need = presence::required);
+
+    /// Index of the value in `choices`.
+    std::optional<std::size_t> choice(std::string_view key,
+        std::span<std::string_view const> choices,
+        presence need = presence::required);
+
+    /// Elements of a list; empty if missing or faulty.
+    std::span<yaml_node const> list(
+        std::string_view key, presence need = presence::required);
+
+    /// Reports keys that nobody asked for.
+    void finish();
+
+    /// Adds a fault at the value of `key`, or at the map if it is missing.
+    void fault(std::string_view key, std::string expected);
+
+    /// Path of `key` below this map.
+    [[nodiscard]] std::string path_of(std::string_view key) const;
+
+private:
+    std::optional<std::int64_t> number(std::string_view key, std::int64_t least,
+        std::int64_t most, presence need);
+
+    /// Scalar value of `key`; another kind is a fault.
+    yaml_node const* scalar(
+        std::string_view key, presence need, std::string const& expected);
+
+    void mismatch(
+        std::string_view key, std::string const& expected, yaml_node const& it);
+
+    yaml_node const& node_;
+    std::string path_;
+    fault_list& faults_;
+    std::map<std::string_view, yaml_node const*> values_;
+    std::vector<std::string_view> known_;
+};
+
+/// Text of `path` for the element at `index`.
+[[nodiscard]] std::string element_path(
+    std::string_view path, std::size_t index);
+
+/// Reports values of one key that occur more than once in a list.
+template <class Value> class unique_values {
+public:
+    void add(map_reader& reader, std::string_view key,
+        std::optional<Value> const& value) {
+        if (value && !seen_.emplace(*value, seen_.size()).second)
+            reader.fault(key, "expected a unique value, found a duplicate");
+    }
+
+private:
+    std::map<Value, std::size_t> seen_;
+};
+
+[[nodiscard]] bool is_name(std::string_view text);
+
+} // namespace radishspread::config::internal
+
+#endif
