--- a/packages/config/src/rs_limits_reader.cpp
+++ b/packages/config/src/rs_limits_reader.cpp
@@ -19,6 +19,7 @@
 constexpr std::int64_t second = 1000;
 constexpr std::int64_t minute = 60 * second;
 constexpr std::int64_t hour = 60 * minute;
+constexpr std::int64_t day = 24 * hour;
 constexpr std::int64_t megabyte = 1 << 20;
 
 constexpr duration ms(std::int64_t value) {
@@ -101,7 +102,7 @@
 constexpr std::array agent_limits{
     limit{"reservation_time_ms", 100, minute,
         set_agent_time<&agent_options::reservation_time>},
-    limit{"flow_idle_time_ms", minute, 30 * 24 * hour,
+    limit{"flow_idle_time_ms", minute, 30 * day,
         set_agent_time<&agent_options::flow_idle_time>},
     limit{"progress_timeout_ms", 10, minute,
         set_agent_time<&agent_options::progress_timeout>},
--- a/packages/config/src/rs_service_reader.cpp
+++ b/packages/config/src/rs_service_reader.cpp
@@ -17,7 +17,7 @@
 struct unique_fields {
     unique_values<std::string> names;
     unique_values<backend_id> ids;
-    unique_values<endpoint> agents;
+    unique_values<std::string> agents;
 };
 
 domain_id find_domain(
@@ -47,7 +47,8 @@
     it.finish();
     unique.names.add(it, "name", name);
     unique.ids.add(it, "id", id);
-    unique.agents.add(it, "agent", agent);
+    unique.agents.add(
+        it, "agent", agent ? std::optional(to_string(*agent)) : std::nullopt);
     return {.name = name.value_or(""),
         .id = id.value_or(0),
         .domain = domain ? find_domain(it, *domain, domains) : domain_id{0},
--- a/packages/config/src/rs_settings.cpp
+++ b/packages/config/src/rs_settings.cpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <filesystem>
+#include <set>
 
 namespace radishspread::config {
 
@@ -71,11 +72,11 @@
     auto const items = top.list("peers", presence::optional);
     if (items.size() > most_peers)
         top.fault("peers", "expected at most 64 peers");
-    std::map<endpoint, std::size_t> seen;
+    std::set<std::string> seen;
     for (std::size_t n = 0; n < items.size(); ++n) {
         auto const path = element_path("peers", n);
         auto const peer = parse_peer(items[n], path, faults);
-        if (peer.is_set() && !seen.emplace(peer, n).second)
+        if (peer.is_set() && !seen.insert(to_string(peer)).second)
             faults.add(items[n].where, path,
                 "expected a unique value, found a duplicate");
         out.peers.push_back(peer);
