Agent core: flows, requests, admission, connections, handover

Cause: the agent had only a declared interface.

Ruled out: a handover without the receiver's incarnation. If the receiver takes a flow, runs a request and restarts before its reply arrives, a repeated handover makes the next incarnation a second owner of the window, and a late copy of the request runs twice. `handover` and `handover_reply` therefore carry `target`; 0 asks for the incarnation without offering the flow. Also ruled out: deciding a repeated handover anew; decisions are kept in a ledger for 10 minutes.

Change: tables (flows, answers, queue, dispatches, connections, ledger) with systems over them; templates in internal/rs_agent_*_impl.hpp. A receiver of a flow asks the giver for answers from before the handover.

--- /dev/null
+++ b/packages/core/include/radishspread/core/internal/rs_agent_backend_impl.hpp
@@ -0,0 +1,172 @@
+#ifndef RADISHSPREAD_CORE_INTERNAL_RS_AGENT_BACKEND_IMPL_HPP
+#define RADISHSPREAD_CORE_INTERNAL_RS_AGENT_BACKEND_IMPL_HPP
+
+#include <radishspread/core/internal/rs_agent_handover_out_impl.hpp>
+
+namespace radishspread::agent_internal {
+
+/// Connections that may finish requests after a GOAWAY.
+inline constexpr std::size_t max_connections = 8;
+
+template <class Sink>
+void log_connection(
+    agent_call<Sink> call, std::uint16_t number, std::int64_t value = 0) {
+    log(call, {.number = number, .step = step::dispatch, .value = value});
+}
+
+/// Notes that no connection takes new requests any more.
+template <class Sink> void note_disconnected(agent_call<Sink> call) {
+    if (call.state.connections.current() == nullptr)
+        call.state.disconnected_since = call.now;
+}
+
+/// Forgets a connection; its outstanding requests may have run.
+template <class Sink>
+void lose_connection(agent_call<Sink> call, std::uint64_t id) {
+    auto& state = call.state;
+    auto const* const connection = state.connections.find(id);
+    if (connection == nullptr)
+        return;
+    bool const was_open = connection->state == connection_state::open;
+    bool const was_next = connection->state != connection_state::finishing;
+    for (auto const dispatch : state.dispatches.on_connection(id)) {
+        auto it = finish_dispatch(call, dispatch);
+        on_lost(call, *it);
+    }
+    state.connections.erase(id);
+    if (was_open)
+        note_disconnected(call);
+    if (was_next)
+        state.connections.back_off(call.now);
+}
+
+template <class Sink>
+void on_connected(agent_call<Sink> call, backend_connection& connection,
+    std::uint32_t max_streams) {
+    auto& state = call.state;
+    if (connection.state != connection_state::connecting)
+        return;
+    connection.state = connection_state::open;
+    state.connections.connected();
+    state.bound.set_max_streams(max_streams);
+    // A new connection usually follows a restart of the backend server. Only
+    // one that replaces a silent connection leads to the same process.
+    if (state.is_cold_connection)
+        state.bound.start_cold();
+    state.is_cold_connection = true;
+    log_connection(call, agent_event::connected, max_streams);
+}
+
+template <class Sink>
+void on_going_away(agent_call<Sink> call, backend_connection& connection) {
+    log_connection(call, agent_event::going_away);
+    bool const was_open = connection.state == connection_state::open;
+    connection.state = connection_state::finishing;
+    if (was_open)
+        note_disconnected(call);
+    call.state.connections.retry_now(call.now);
+}
+
+/// Event that concerns one request.
+template <class Sink>
+void on_dispatch_event(agent_call<Sink> call, backend_event const& event) {
+    auto it = finish_dispatch(call, event.id);
+    if (!it)
+        return;
+    auto const opening = it->request.key.opening;
+    if (event.kind == backend_event_kind::answered)
+        on_answered(call, *it, event);
+    else if (event.kind == backend_event_kind::refused)
+        on_refused(call, *it);
+    else
+        on_lost(call, *it);
+    auto* const flow = call.state.flows.find(opening);
+    if (flow != nullptr)
+        commit_if_quiet(call, *flow);
+}
+
+template <class Sink>
+void on_backend_event(agent_call<Sink> call, backend_event const& event) {
+    auto& state = call.state;
+    auto* const connection = state.connections.find(event.connection);
+    if (connection == nullptr)
+        return;
+    connection->last_byte = call.now;
+    connection->is_pinged = false;
+    switch (event.kind) {
+    case backend_event_kind::connected:
+        on_connected(call, *connection, event.max_streams);
+        break;
+    case backend_event_kind::limit:
+        state.bound.set_max_streams(event.max_streams);
+        break;
+    case backend_event_kind::progress:
+        break;
+    case backend_event_kind::answered:
+    case backend_event_kind::refused:
+    case backend_event_kind::lost:
+        on_dispatch_event(call, event);
+        break;
+    case backend_event_kind::going_away:
+        on_going_away(call, *connection);
+        break;
+    case backend_event_kind::closed:
+        log_connection(call, agent_event::disconnected);
+        lose_connection(call, event.connection);
+        break;
+    }
+    dispatch_queued(call);
+}
+
+/// Replaces a connection on which nothing arrives any more.
+template <class Sink>
+void replace_connection(agent_call<Sink> call, std::uint64_t id) {
+    auto& state = call.state;
+    log_connection(call, agent_event::silent);
+    auto const* const connection = state.connections.find(id);
+    bool const was_open = connection->state == connection_state::open;
+    call.sink.disconnect(id);
+    lose_connection(call, id);
+    if (was_open) {
+        state.is_cold_connection = false;
+        state.connections.retry_now(call.now);
+    }
+}
+
+/// True if the connection has been silent for too long; sends the PING first.
+template <class Sink>
+bool is_silent(agent_call<Sink> call, backend_connection& it) {
+    auto const timeout = call.state.options.progress_timeout;
+    auto const waited = call.now - it.last_byte;
+    if (it.state == connection_state::connecting)
+        return waited >= 2 * timeout;
+    if (it.outstanding == 0 || waited < timeout)
+        return false;
+    if (it.is_pinged)
+        return true;
+    // The second wait starts here.
+    it.is_pinged = true;
+    it.last_byte = call.now;
+    call.sink.ping(it.id);
+    return false;
+}
+
+/// Makes the next connection and replaces silent ones.
+template <class Sink> void maintain_connections(agent_call<Sink> call) {
+    auto& connections = call.state.connections;
+    std::vector<std::uint64_t> silent;
+    for (auto& it : connections.rows()) {
+        if (is_silent(call, it))
+            silent.push_back(it.id);
+    }
+    for (auto const id : silent)
+        replace_connection(call, id);
+    if (connections.rows().size() >= max_connections)
+        replace_connection(call, connections.rows().front().id);
+    if (!connections.has_next() && call.now >= connections.next_attempt())
+        call.sink.connect(connections.add(call.now).id);
+}
+
+} // namespace radishspread::agent_internal
+
+#endif
--- /dev/null
+++ b/packages/core/include/radishspread/core/internal/rs_agent_connections.hpp
@@ -0,0 +1,64 @@
+#ifndef RADISHSPREAD_CORE_INTERNAL_RS_AGENT_CONNECTIONS_HPP
+#define RADISHSPREAD_CORE_INTERNAL_RS_AGENT_CONNECTIONS_HPP
+
+#include <radishspread/core/internal/rs_jitter.hpp>
+#include <radishspread/core/rs_time.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace radishspread::agent_internal {
+
+enum class connection_state : std::uint8_t {
+    connecting,
+    open,
+    finishing, ///< GOAWAY was received: no new streams.
+};
+
+/// A connection to the backend server.
+struct backend_connection {
+    std::uint64_t id = 0;
+    connection_state state = connection_state::connecting;
+    instant last_byte; ///< Or the start of the wait for one.
+    std::uint32_t outstanding = 0;
+    bool is_pinged = false;
+};
+
+/// Connections to the backend server: one for new requests, and those that
+/// finish requests after a GOAWAY.
+class connection_table {
+public:
+    connection_table(duration minimum, duration maximum, std::uint64_t seed);
+
+    /// Adds a connection that is being made.
+    backend_connection& add(instant now);
+    [[nodiscard]] backend_connection* find(std::uint64_t id);
+    void erase(std::uint64_t id);
+
+    /// The connection that takes new requests, or null.
+    [[nodiscard]] backend_connection* current();
+    /// True if a connection is open or being made.
+    [[nodiscard]] bool has_next() const;
+
+    /// Delays the next attempt, longer after each failure in a row.
+    void back_off(instant now);
+    void connected() { failures_ = 0; }
+    void retry_now(instant now) { next_attempt_ = now; }
+    [[nodiscard]] instant next_attempt() const { return next_attempt_; }
+
+    [[nodiscard]] std::vector<backend_connection>& rows() { return rows_; }
+
+private:
+    std::vector<backend_connection> rows_;
+    duration minimum_;
+    duration maximum_;
+    std::uint64_t last_id_ = 0;
+    unsigned failures_ = 0;
+    instant next_attempt_;
+    internal::jitter random_;
+};
+
+} // namespace radishspread::agent_internal
+
+#endif
--- /dev/null
+++ b/packages/core/include/radishspread/core/internal/rs_agent_flow_table.hpp
@@ -0,0 +1,48 @@
+#ifndef RADISHSPREAD_CORE_INTERNAL_RS_AGENT_FLOW_TABLE_HPP
+#define RADISHSPREAD_CORE_INTERNAL_RS_AGENT_FLOW_TABLE_HPP
+
+#include <radishspread/core/internal/rs_agent_flow.hpp>
+
+#include <cstddef>
+#include <unordered_map>
+
+namespace radishspread::agent_internal {
+
+/// The flows of an agent, by opening. The owner of the table checks the bound
+/// with `owned()` before it adds a flow.
+class flow_table {
+public:
+    /// Adds a reservation, or an established flow if `state` says so.
+    flow_entry& add(flow_key const& key, flow_state state, instant now);
+
+    [[nodiscard]] flow_entry* find(open_id opening);
+
+    /// Reservation of the flow `key`, or null.
+    [[nodiscard]] flow_entry* find_reservation(flow_key const& key);
+
+    /// The caller has echoed the cookie of a reservation.
+    void establish(flow_entry& it);
+    void set_moved(flow_entry& it);
+    void erase(open_id opening);
+
+    /// Opening of the moved flow that had no packet for longest, or 0.
+    [[nodiscard]] open_id oldest_moved() const;
+
+    /// Flows whose window this agent owns.
+    [[nodiscard]] std::size_t owned() const { return rows_.size() - moved_; }
+    [[nodiscard]] std::size_t moved() const { return moved_; }
+    [[nodiscard]] std::size_t reserved() const { return reservations_.size(); }
+
+    [[nodiscard]] auto begin() { return rows_.begin(); }
+    [[nodiscard]] auto end() { return rows_.end(); }
+
+private:
+    std::unordered_map<open_id, flow_entry> rows_;
+    std::unordered_map<flow_key, open_id, flow_key_hash> reservations_;
+    std::size_t moved_ = 0;
+    open_id last_opening_ = 0;
+};
+
+} // namespace radishspread::agent_internal
+
+#endif
--- /dev/null
+++ b/packages/core/include/radishspread/core/internal/rs_agent_handover_in_impl.hpp
@@ -0,0 +1,97 @@
+#ifndef RADISHSPREAD_CORE_INTERNAL_RS_AGENT_HANDOVER_IN_IMPL_HPP
+#define RADISHSPREAD_CORE_INTERNAL_RS_AGENT_HANDOVER_IN_IMPL_HPP
+
+#include <radishspread/core/internal/rs_agent_moved_impl.hpp>
+
+namespace radishspread::agent_internal {
+
+/// Handovers remembered for each flow that the agent may hold.
+inline constexpr std::size_t ledger_factor = 4;
+
+template <class Sink>
+void send_decision(agent_call<Sink> call, handover const& message,
+    handover_decision const& decision) {
+    call.sink.send_handover_reply(message.origin.sender,
+        handover_reply{
+            .origin = call.state.view.make_stamp(message.flow.service),
+            .flow = message.flow,
+            .opening = message.opening,
+            .cookie = decision.cookie,
+            .reason = decision.reason,
+            .target = message.target});
+}
+
+/// Cookie of the flow at the agent that gives it. The failure domain of that
+/// agent is not in the message; no agent checks it.
+inline route_cookie giver_cookie(
+    agent_state const& state, handover const& message) {
+    return state.seal({.domain = state.options.domain,
+                          .service = message.flow.service,
+                          .agent = message.origin.sender,
+                          .incarnation = message.origin.incarnation,
+                          .opening = message.opening},
+        message.flow);
+}
+
+template <class Sink>
+handover_decision take_flow(agent_call<Sink> call, handover const& message) {
+    auto& state = call.state;
+    auto& flow =
+        state.flows.add(message.flow, flow_state::established, call.now);
+    flow.reply_to = message.reply_to;
+    flow.window = message.window;
+    flow.in = {.previous = giver_cookie(state, message),
+        .moved_interval = moved_minimum};
+    log(call, {.number = agent_event::flow_taken,
+                  .step = step::hand_over,
+                  .peer = message.origin.sender,
+                  .flow = message.flow.flow});
+    send_moved(call, flow);
+    return {.cookie = state.make_cookie(flow)};
+}
+
+inline reason handover_obstacle(agent_state& state, handover const& message) {
+    if (message.flow.service != state.options.service)
+        return reason::unknown_service;
+    auto const why = state.flow_obstacle();
+    bool const is_full = state.ledger.size() >= ledger_factor * state.max_flows;
+    return why == reason::none && is_full ? reason::overloaded : why;
+}
+
+template <class Sink>
+void on_handover(agent_call<Sink> call, handover const& message) {
+    auto& state = call.state;
+    if (message.target == 0)
+        return send_decision(
+            call, message, {.reason = handover_obstacle(state, message)});
+    if (message.target != state.options.document.incarnation)
+        return send_decision(
+            call, message, {.reason = reason::stale_incarnation});
+    handover_key const key{
+        .incarnation = message.origin.incarnation, .opening = message.opening};
+    if (auto const* const decision = state.ledger.find(key))
+        return send_decision(call, message, *decision);
+    // A decision that cannot be remembered must not be made.
+    if (state.ledger.size() >= ledger_factor * state.max_flows)
+        return;
+    handover_decision decision{.reason = handover_obstacle(state, message)};
+    if (decision.reason == reason::none)
+        decision = take_flow(call, message);
+    state.ledger.add(call.now, key, decision);
+    send_decision(call, message, decision);
+}
+
+/// Repeats `moved` for flows whose caller has not used the new cookie.
+template <class Sink> void repeat_moved(agent_call<Sink> call) {
+    for (auto& [opening, flow] : call.state.flows) {
+        bool const is_due = flow.state == flow_state::established && flow.in &&
+                            !flow.in->is_confirmed &&
+                            call.now >= flow.in->next_moved;
+        if (is_due)
+            send_moved(call, flow);
+    }
+}
+
+} // namespace radishspread::agent_internal
+
+#endif
--- /dev/null
+++ b/packages/core/include/radishspread/core/internal/rs_agent_handover_out_impl.hpp
@@ -0,0 +1,234 @@
+#ifndef RADISHSPREAD_CORE_INTERNAL_RS_AGENT_HANDOVER_OUT_IMPL_HPP
+#define RADISHSPREAD_CORE_INTERNAL_RS_AGENT_HANDOVER_OUT_IMPL_HPP
+
+#include <radishspread/core/internal/rs_agent_request_impl.hpp>
+
+namespace radishspread::agent_internal {
+
+/// Queries to one agent before the next one is tried.
+inline constexpr std::uint8_t max_queries = 3;
+/// Delay before a flow that no agent takes is offered again.
+inline constexpr duration offer_delay = std::chrono::seconds(2);
+/// Time for which the reply to a query is used.
+inline constexpr duration ready_time = std::chrono::seconds(1);
+/// Time after which an unanswered handover is given up and the flow dropped.
+inline constexpr duration commit_time = std::chrono::seconds(10);
+/// Handovers begun at one tick, so that the others receive them evenly.
+inline constexpr unsigned offers_per_tick = 64;
+
+template <class Sink>
+void send_handover(agent_call<Sink> call, flow_entry& flow) {
+    auto& state = call.state;
+    auto& out = flow.out;
+    ++out.sends;
+    out.next_send = call.now + state.options.handover_retry;
+    call.sink.send_handover(out.targets[out.index].agent,
+        handover{.origin = state.view.make_stamp(flow.key.service),
+            .flow = flow.key,
+            .opening = flow.opening,
+            .window = flow.window,
+            .reply_to = flow.reply_to,
+            .target = out.is_committed() ? out.incarnation : 0});
+}
+
+inline void enter_step(flow_entry& flow, handover_step step, instant now) {
+    flow.out.step = step;
+    flow.out.sends = 0;
+    flow.out.step_since = now;
+}
+
+/// Asks the target for its incarnation and whether it would take the flow.
+template <class Sink>
+void query_target(agent_call<Sink> call, flow_entry& flow) {
+    enter_step(flow, handover_step::asking, call.now);
+    send_handover(call, flow);
+}
+
+/// Keeps the flow and offers it again later.
+template <class Sink> void keep_flow(agent_call<Sink> call, flow_entry& flow) {
+    enter_step(flow, handover_step::none, call.now);
+    flow.out.next_send = call.now + offer_delay;
+    log(call, {.number = agent_event::flow_kept,
+                  .step = step::hand_over,
+                  .flow = flow.key.flow});
+    if (flow.out.is_closing)
+        on_close(call, flow);
+}
+
+template <class Sink>
+void try_next_target(agent_call<Sink> call, flow_entry& flow) {
+    if (flow.out.index + 1 >= flow.out.targets.size())
+        return keep_flow(call, flow);
+    ++flow.out.index;
+    query_target(call, flow);
+}
+
+template <class Sink> void offer_flow(agent_call<Sink> call, flow_entry& flow) {
+    flow.out.targets = call.state.choose_targets(flow.key);
+    flow.out.index = 0;
+    if (flow.out.targets.empty())
+        return keep_flow(call, flow);
+    query_target(call, flow);
+}
+
+/// Takes the flow's requests out of the queue, if the backend server is out of
+/// reach: they were never dispatched, so the next owner may run them.
+template <class Sink>
+void withdraw_queued(agent_call<Sink> call, flow_entry& flow) {
+    auto& state = call.state;
+    std::vector<request_id> ids;
+    for (auto const& record : flow.records) {
+        if (record.state == request_state::queued)
+            ids.push_back(record.id);
+    }
+    for (auto const id : ids) {
+        auto const request =
+            state.queue.take({.opening = flow.opening, .request = id});
+        if (!request)
+            continue;
+        if (request->was_dispatched) {
+            end_queued(call, *request, reason::backend_lost);
+            continue;
+        }
+        --flow.queued;
+        flow.withdraw(id);
+    }
+}
+
+/// Hands the flow over if its target is ready and no request is outstanding.
+template <class Sink>
+void commit_if_quiet(agent_call<Sink> call, flow_entry& flow) {
+    if (flow.out.step != handover_step::ready)
+        return;
+    if (flow.dispatched == 0 && call.state.is_cut_off(call.now))
+        withdraw_queued(call, flow);
+    if (!flow.is_quiet())
+        return;
+    enter_step(flow, handover_step::committed, call.now);
+    send_handover(call, flow);
+}
+
+/// The target may or may not own the flow, and cannot be asked any more.
+template <class Sink> void give_up(agent_call<Sink> call, flow_entry& flow) {
+    log(call, {.number = agent_event::handover_lost,
+                  .step = step::hand_over,
+                  .peer = flow.out.targets[flow.out.index].agent,
+                  .flow = flow.key.flow});
+    drop_flow(call, flow.opening, false);
+}
+
+template <class Sink>
+void advance_handover(agent_call<Sink> call, flow_entry& flow) {
+    auto& out = flow.out;
+    if (out.step == handover_step::ready) {
+        if (call.now >= out.step_since + ready_time)
+            return query_target(call, flow);
+        return commit_if_quiet(call, flow);
+    }
+    if (call.now < out.next_send)
+        return;
+    if (out.is_committed() && call.now >= out.step_since + commit_time)
+        return give_up(call, flow);
+    if (!out.is_committed() && out.sends >= max_queries)
+        return try_next_target(call, flow);
+    send_handover(call, flow);
+}
+
+/// Runs the handovers of a leaving agent. One that was committed continues
+/// even if the agent no longer leaves.
+template <class Sink> void hand_over_flows(agent_call<Sink> call) {
+    auto& state = call.state;
+    bool const leaves = state.is_leaving(call.now) && !state.is_out();
+    unsigned offers = 0;
+    std::vector<open_id> due;
+    for (auto const& [opening, flow] : state.flows) {
+        if (flow.state != flow_state::established)
+            continue;
+        auto const step = flow.out.step;
+        bool const is_offer = step == handover_step::none;
+        if (is_offer && (!leaves || call.now < flow.out.next_send))
+            continue;
+        if (is_offer && ++offers > offers_per_tick)
+            continue;
+        due.push_back(opening);
+    }
+    for (auto const opening : due) {
+        auto& flow = *state.flows.find(opening);
+        if (flow.out.is_committed() || leaves)
+            flow.out.step == handover_step::none ? offer_flow(call, flow)
+                                                 : advance_handover(call, flow);
+        else
+            enter_step(flow, handover_step::none, call.now);
+    }
+}
+
+/// The target owns the flow from now on.
+template <class Sink>
+void on_given(
+    agent_call<Sink> call, flow_entry& flow, route_cookie const& cookie) {
+    auto& state = call.state;
+    log(call, {.number = agent_event::flow_given,
+                  .step = step::hand_over,
+                  .peer = cookie.agent,
+                  .flow = flow.key.flow});
+    enter_step(flow, handover_step::none, call.now);
+    flow.out.moved_to = cookie;
+    flow.last_packet = call.now;
+    state.flows.set_moved(flow);
+    state.linger_until = call.now + moved_linger;
+    if (flow.out.is_closing) {
+        forward message{.caller = flow.key.caller, .reply_to = flow.reply_to};
+        message.packet.kind = packet_kind::close;
+        message.packet.service = flow.key.service;
+        message.packet.flow = flow.key.flow;
+        forward_packet(call, message, cookie);
+    }
+    auto const bound = std::max<std::size_t>(1, state.max_flows);
+    while (state.flows.moved() > bound)
+        drop_flow(call, state.flows.oldest_moved(), false);
+}
+
+/// Reply to a handover that named the target's incarnation.
+template <class Sink>
+void on_commit_reply(
+    agent_call<Sink> call, flow_entry& flow, handover_reply const& reply) {
+    auto const& out = flow.out;
+    if (reply.target != out.incarnation)
+        return;
+    // The incarnation that may have taken the flow is gone.
+    if (reply.origin.incarnation != out.incarnation)
+        return give_up(call, flow);
+    if (!reply.cookie)
+        return try_next_target(call, flow);
+    bool const is_valid = call.state.is_genuine(*reply.cookie, flow.key) &&
+                          reply.cookie->agent == out.targets[out.index].agent &&
+                          reply.cookie->incarnation == out.incarnation;
+    if (is_valid)
+        on_given(call, flow, *reply.cookie);
+}
+
+template <class Sink>
+void on_handover_reply(agent_call<Sink> call, handover_reply const& reply) {
+    auto* const flow = call.state.flows.find(reply.opening);
+    bool const is_known = flow != nullptr && flow->key == reply.flow &&
+                          flow->state == flow_state::established &&
+                          flow->out.step != handover_step::none;
+    if (!is_known)
+        return;
+    auto& out = flow->out;
+    if (reply.origin.sender != out.targets[out.index].agent)
+        return;
+    if (out.is_committed())
+        return on_commit_reply(call, *flow, reply);
+    if (out.step != handover_step::asking || reply.target != 0)
+        return;
+    if (reply.reason != reason::none)
+        return try_next_target(call, *flow);
+    out.incarnation = reply.origin.incarnation;
+    enter_step(*flow, handover_step::ready, call.now);
+    commit_if_quiet(call, *flow);
+}
+
+} // namespace radishspread::agent_internal
+
+#endif
--- /dev/null
+++ b/packages/core/include/radishspread/core/internal/rs_agent_ledger.hpp
@@ -0,0 +1,60 @@
+#ifndef RADISHSPREAD_CORE_INTERNAL_RS_AGENT_LEDGER_HPP
+#define RADISHSPREAD_CORE_INTERNAL_RS_AGENT_LEDGER_HPP
+
+#include <radishspread/core/rs_ids.hpp>
+#include <radishspread/core/rs_reason.hpp>
+#include <radishspread/core/rs_route_cookie.hpp>
+#include <radishspread/core/rs_time.hpp>
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <optional>
+#include <tuple>
+
+namespace radishspread::agent_internal {
+
+/// Identity of a handover: the flow at the agent that gives it.
+struct handover_key {
+    incarnation_id incarnation = 0;
+    open_id opening = 0;
+
+    friend bool operator==(handover_key const&, handover_key const&) = default;
+    friend bool operator<(handover_key const& a, handover_key const& b) {
+        return std::tie(a.incarnation, a.opening) <
+               std::tie(b.incarnation, b.opening);
+    }
+};
+
+/// How a handover was decided.
+struct handover_decision {
+    std::optional<route_cookie> cookie; ///< Empty if it was refused.
+    radishspread::reason reason = radishspread::reason::none;
+};
+
+/// Decisions on received handovers. A repeated handover must get the same
+/// reply: otherwise a copy that arrives after the flow ended here, or after a
+/// refusal, would create a second owner of the flow's window.
+class handover_ledger {
+public:
+    /// Longest time that a copy of a handover may be under way.
+    static constexpr duration lifetime = std::chrono::minutes(10);
+
+    [[nodiscard]] handover_decision const* find(handover_key key) const;
+    void add(instant now, handover_key key, handover_decision decision);
+    void expire(instant now);
+    [[nodiscard]] std::size_t size() const { return rows_.size(); }
+
+private:
+    struct age {
+        instant added;
+        handover_key key;
+    };
+
+    std::map<handover_key, handover_decision> rows_;
+    std::deque<age> ages_; ///< Oldest first.
+};
+
+} // namespace radishspread::agent_internal
+
+#endif
--- /dev/null
+++ b/packages/core/include/radishspread/core/internal/rs_agent_moved_impl.hpp
@@ -0,0 +1,86 @@
+#ifndef RADISHSPREAD_CORE_INTERNAL_RS_AGENT_MOVED_IMPL_HPP
+#define RADISHSPREAD_CORE_INTERNAL_RS_AGENT_MOVED_IMPL_HPP
+
+#include <radishspread/core/internal/rs_agent_reply_impl.hpp>
+
+namespace radishspread::agent_internal {
+
+/// Agents that may forward a packet of a flow that moved more than once.
+inline constexpr std::uint8_t max_moved_passes = 16;
+/// Time after the last packet of a moved flow in which a stopping agent waits
+/// for further ones. Callers retransmit at least every 2 s.
+inline constexpr duration moved_linger = std::chrono::milliseconds(2500);
+/// Delays between repeats of `moved`.
+inline constexpr duration moved_minimum = std::chrono::milliseconds(100);
+inline constexpr duration moved_maximum = std::chrono::seconds(60);
+/// Time for which a leaving agent lets a busy flow take new requests.
+inline constexpr duration freeze_delay = std::chrono::seconds(2);
+
+/// Sends a packet on with the cookie that the receiving agent knows.
+template <class Sink>
+void forward_packet(
+    agent_call<Sink> call, forward message, route_cookie const& cookie) {
+    if (message.passes >= max_moved_passes)
+        return;
+    message.origin = call.state.view.make_stamp(message.packet.service);
+    ++message.passes;
+    message.packet.cookie = cookie;
+    call.sink.send_forward(cookie.agent, message);
+}
+
+/// Forwards a repeated request to the agent that held the flow when the
+/// request was taken, since only that agent has its answer.
+template <class Sink>
+void ask_giver(
+    agent_call<Sink> call, flow_entry const& flow, forward const& message) {
+    forward_packet(call, message, flow.in->previous);
+}
+
+template <class Sink> void send_moved(agent_call<Sink> call, flow_entry& flow) {
+    auto& in = *flow.in;
+    in.next_moved = call.now + in.moved_interval;
+    in.moved_interval = std::min(in.moved_interval * 2, moved_maximum);
+    send_reply(call, flow,
+        caller_reply{
+            .kind = reply_kind::moved, .cookie = call.state.make_cookie(flow)});
+}
+
+/// Notes whether a packet of a flow that was taken over came with the new
+/// cookie from the caller, or from the agent that gave the flow.
+template <class Sink>
+void note_cookie(
+    agent_call<Sink> call, flow_entry& flow, forward const& message) {
+    if (!flow.in || flow.in->is_confirmed)
+        return;
+    auto& in = *flow.in;
+    if (message.passes == 0) {
+        in.is_confirmed = true;
+        return;
+    }
+    // The caller is active with the old cookie, so `moved` was lost.
+    if (in.moved_interval > moved_minimum * 2) {
+        in.moved_interval = moved_minimum;
+        send_moved(call, flow);
+    }
+}
+
+/// True if new requests have to wait until the flow has moved.
+inline bool is_frozen(
+    agent_state const& state, flow_entry const& flow, instant now) {
+    bool const is_ready = flow.out.step == handover_step::ready;
+    return is_ready && now >= state.leaving_since + freeze_delay;
+}
+
+template <class Sink>
+void forward_moved(
+    agent_call<Sink> call, flow_entry const& flow, forward const& message) {
+    auto const& cookie = flow.out.moved_to;
+    if (call.state.view.is_out(cookie.domain))
+        return send_reset(call, message, reason::domain_out);
+    call.state.linger_until = call.now + moved_linger;
+    forward_packet(call, message, cookie);
+}
+
+} // namespace radishspread::agent_internal
+
+#endif
--- /dev/null
+++ b/packages/core/include/radishspread/core/internal/rs_agent_packet_impl.hpp
@@ -0,0 +1,106 @@
+#ifndef RADISHSPREAD_CORE_INTERNAL_RS_AGENT_PACKET_IMPL_HPP
+#define RADISHSPREAD_CORE_INTERNAL_RS_AGENT_PACKET_IMPL_HPP
+
+#include <radishspread/core/internal/rs_agent_open_impl.hpp>
+#include <radishspread/core/internal/rs_agent_request_impl.hpp>
+
+namespace radishspread::agent_internal {
+
+template <class Sink>
+void log_invalid(agent_call<Sink> call, forward const& message) {
+    log(call, {.number = agent_event::invalid_packet,
+                  .step = step::receive,
+                  .peer = message.origin.sender,
+                  .flow = message.packet.flow,
+                  .request = message.packet.request,
+                  .reason = reason::invalid_cookie});
+}
+
+/// The flow that a packet's cookie names, or null after a reset or a drop.
+template <class Sink>
+flow_entry* find_flow(agent_call<Sink> call, forward const& message) {
+    auto& state = call.state;
+    auto const& cookie = message.packet.cookie;
+    auto const key = key_of(message);
+    if (!cookie || !state.is_genuine(*cookie, key)) {
+        log_invalid(call, message);
+        return nullptr;
+    }
+    // The address in the cookie may have belonged to an agent of another
+    // service, or the balancer may have sent the packet to the wrong agent.
+    auto why = reason::none;
+    if (cookie->service != state.options.service ||
+        key.service != state.options.service)
+        why = reason::invalid_cookie;
+    else if (cookie->agent != state.options.document.self) {
+        log_invalid(call, message);
+        return nullptr;
+    } else if (cookie->incarnation != state.options.document.incarnation)
+        why = reason::stale_incarnation;
+    auto* const flow =
+        why == reason::none ? state.flows.find(cookie->opening) : nullptr;
+    if (flow != nullptr && flow->key == key)
+        return flow;
+    send_reset(
+        call, message, why == reason::none ? reason::flow_not_held : why);
+    return nullptr;
+}
+
+/// Packet of a flow that another agent owns now.
+template <class Sink>
+void on_moved_packet(
+    agent_call<Sink> call, flow_entry& flow, forward const& message) {
+    auto const& packet = message.packet;
+    bool const names_taken =
+        packet.request != 0 &&
+        position_of(flow.window, packet.request) == window_position::taken;
+    if (names_taken && packet.kind == packet_kind::request)
+        return on_repeat(call, flow, message);
+    if (names_taken && packet.kind == packet_kind::cancel)
+        return on_cancel(call, flow, packet);
+    forward_moved(call, flow, message);
+}
+
+template <class Sink>
+void on_flow_packet(
+    agent_call<Sink> call, flow_entry& flow, forward const& message) {
+    switch (message.packet.kind) {
+    case packet_kind::open:
+    case packet_kind::keepalive:
+        return;
+    case packet_kind::request:
+        return on_request(call, flow, message);
+    case packet_kind::cancel:
+        return on_cancel(call, flow, message.packet);
+    case packet_kind::close:
+        return on_close(call, flow);
+    }
+}
+
+/// Packet with a cookie.
+template <class Sink>
+void on_packet(agent_call<Sink> call, forward const& message) {
+    auto& state = call.state;
+    auto* const flow = find_flow(call, message);
+    if (flow == nullptr)
+        return;
+    if (state.is_out()) {
+        send_reset(call, message, reason::domain_out);
+        return drop_flow(call, flow->opening, false);
+    }
+    flow->reply_to = message.reply_to;
+    flow->last_packet = call.now;
+    if (flow->state == flow_state::moved)
+        return on_moved_packet(call, *flow, message);
+    state.flows.establish(*flow);
+    note_cookie(call, *flow, message);
+    if (flow->out.is_committed()) {
+        flow->out.is_closing |= message.packet.kind == packet_kind::close;
+        return;
+    }
+    on_flow_packet(call, *flow, message);
+}
+
+} // namespace radishspread::agent_internal
+
+#endif
--- /dev/null
+++ b/packages/core/include/radishspread/core/internal/rs_agent_queue.hpp
@@ -0,0 +1,51 @@
+#ifndef RADISHSPREAD_CORE_INTERNAL_RS_AGENT_QUEUE_HPP
+#define RADISHSPREAD_CORE_INTERNAL_RS_AGENT_QUEUE_HPP
+
+#include <radishspread/core/internal/rs_agent_request_key.hpp>
+#include <radishspread/core/rs_time.hpp>
+#include <radishspread/core/rs_trace_context.hpp>
+
+#include <cstddef>
+#include <deque>
+#include <optional>
+#include <vector>
+
+namespace radishspread::agent_internal {
+
+/// A request that has not been dispatched, or that is dispatched again.
+struct waiting_request {
+    request_key key;
+    instant deadline;
+    bool idempotent = false;
+    bool was_dispatched = false; ///< An earlier dispatch may have run.
+    trace_context trace;
+    std::vector<std::byte> payload; ///< At most `max_payload` bytes.
+};
+
+/// Requests waiting for a slot, in order of arrival. The owner checks the
+/// bound before it adds a request.
+class request_queue {
+public:
+    void push_back(waiting_request it);
+    void push_front(waiting_request it);
+    [[nodiscard]] waiting_request pop_front();
+
+    /// Removes and returns the request `key`, if it is in the queue.
+    std::optional<waiting_request> take(request_key key);
+
+    /// Removes and returns a request whose deadline is not after `now`.
+    [[nodiscard]] std::optional<waiting_request> pop_expired(instant now);
+
+    [[nodiscard]] std::size_t size() const { return rows_.size(); }
+    [[nodiscard]] bool empty() const { return rows_.empty(); }
+
+private:
+    template <class Predicate>
+    std::optional<waiting_request> take_first(Predicate matches);
+
+    std::deque<waiting_request> rows_;
+};
+
+} // namespace radishspread::agent_internal
+
+#endif
--- /dev/null
+++ b/packages/core/include/radishspread/core/internal/rs_agent_retry_budget.hpp
@@ -0,0 +1,34 @@
+#ifndef RADISHSPREAD_CORE_INTERNAL_RS_AGENT_RETRY_BUDGET_HPP
+#define RADISHSPREAD_CORE_INTERNAL_RS_AGENT_RETRY_BUDGET_HPP
+
+#include <algorithm>
+#include <cstdint>
+
+namespace radishspread::agent_internal {
+
+/// Limits retries to a share of the successes, so that retries cannot multiply
+/// the load of a failing backend server.
+class retry_budget {
+public:
+    retry_budget(std::uint32_t max_tokens, double ratio)
+        : max_tokens_(max_tokens), ratio_(ratio), tokens_(max_tokens) {}
+
+    void earn() { tokens_ = std::min(tokens_ + ratio_, max_tokens_); }
+
+    /// Takes a token; false if there is none.
+    bool spend() {
+        if (tokens_ < 1)
+            return false;
+        tokens_ -= 1;
+        return true;
+    }
+
+private:
+    double max_tokens_;
+    double ratio_;
+    double tokens_;
+};
+
+} // namespace radishspread::agent_internal
+
+#endif
--- /dev/null
+++ b/packages/core/include/radishspread/core/internal/rs_agent_state.hpp
@@ -0,0 +1,101 @@
+#ifndef RADISHSPREAD_CORE_INTERNAL_RS_AGENT_STATE_HPP
+#define RADISHSPREAD_CORE_INTERNAL_RS_AGENT_STATE_HPP
+
+#include <radishspread/core/internal/rs_agent_admission.hpp>
+#include <radishspread/core/internal/rs_agent_answers.hpp>
+#include <radishspread/core/internal/rs_agent_connections.hpp>
+#include <radishspread/core/internal/rs_agent_dispatches.hpp>
+#include <radishspread/core/internal/rs_agent_flow_table.hpp>
+#include <radishspread/core/internal/rs_agent_ledger.hpp>
+#include <radishspread/core/internal/rs_agent_queue.hpp>
+#include <radishspread/core/internal/rs_agent_retry_budget.hpp>
+#include <radishspread/core/internal/rs_log_limiter.hpp>
+#include <radishspread/core/rs_agent_events.hpp>
+#include <radishspread/core/rs_agent_options.hpp>
+#include <radishspread/core/rs_document.hpp>
+
+#include <array>
+#include <map>
+
+namespace radishspread::agent_internal {
+
+/// Tables of an agent, and questions about them that need no sink.
+struct agent_state {
+    explicit agent_state(agent_options it);
+
+    agent_options options;
+    document view;
+    flow_table flows;
+    stored_answers answers;
+    request_queue queue;
+    dispatch_table dispatches;
+    connection_table connections;
+    admission bound;
+    retry_budget retries;
+    handover_ledger ledger;
+    std::array<internal::log_limiter, agent_event::count> log_limits;
+
+    /// Next offset of each answer that is being sent, in bytes.
+    std::map<request_key, std::uint32_t> transfers;
+    request_key last_transfer;
+
+    // From the service's section; the last entry seen stays in effect.
+    std::string name;
+    std::uint32_t max_flows = 0;
+    bool is_listed = false;
+    bool is_draining = false;
+
+    bool was_out = false;
+    bool was_proven = false;
+    instant unproven_since;
+    instant disconnected_since;
+    bool is_cold_connection = true; ///< The next connection starts cold.
+    bool was_leaving = false;
+    instant leaving_since;
+    bool is_stopping = false;
+    instant stop_deadline;
+    instant linger_until; ///< Packets of moved flows may still arrive.
+
+    /// Applies the sections in effect and the proof of the view.
+    void refresh(instant now);
+
+    [[nodiscard]] bool is_out() const;
+    [[nodiscard]] bool may_dispatch(instant now) const;
+    /// No connection to the backend server for too long.
+    [[nodiscard]] bool is_cut_off(instant now);
+    /// Flows have to be handed over to other agents.
+    [[nodiscard]] bool is_leaving(instant now);
+    /// Why no flow may be added, or `none`.
+    [[nodiscard]] reason flow_obstacle();
+
+    /// Requests and reservations, each of which needs a slot soon.
+    [[nodiscard]] std::size_t demand() const;
+    /// Demand in 1/1000 of the bound.
+    [[nodiscard]] std::uint16_t load() const;
+    [[nodiscard]] std::size_t max_queued() const;
+    /// Time until a request that is queued now gets a slot.
+    [[nodiscard]] duration expected_wait() const;
+
+    [[nodiscard]] route_cookie make_cookie(flow_entry const& it) const;
+    /// Computes the tag of a cookie of the flow `key`.
+    [[nodiscard]] route_cookie seal(
+        route_cookie cookie, flow_key const& key) const;
+    [[nodiscard]] bool is_genuine(
+        route_cookie const& cookie, flow_key const& key) const;
+    /// Agents that could take over the flow `key`, best first.
+    [[nodiscard]] candidate_list choose_targets(flow_key const& key) const;
+
+private:
+    void refresh_entry();
+};
+
+/// One call of the core: the state, the time and where the actions go.
+template <class Sink> struct agent_call {
+    agent_state& state;
+    instant now;
+    Sink& sink;
+};
+
+} // namespace radishspread::agent_internal
+
+#endif
--- /dev/null
+++ b/packages/core/include/radishspread/core/internal/rs_agent_tick_impl.hpp
@@ -0,0 +1,110 @@
+#ifndef RADISHSPREAD_CORE_INTERNAL_RS_AGENT_TICK_IMPL_HPP
+#define RADISHSPREAD_CORE_INTERNAL_RS_AGENT_TICK_IMPL_HPP
+
+#include <radishspread/core/internal/rs_agent_backend_impl.hpp>
+#include <radishspread/core/internal/rs_agent_handover_in_impl.hpp>
+#include <radishspread/core/internal/rs_agent_handover_out_impl.hpp>
+#include <radishspread/core/internal/rs_agent_packet_impl.hpp>
+
+namespace radishspread::agent_internal {
+
+/// Time for which packets of a moved flow are forwarded after the last one.
+inline constexpr duration moved_idle_time = std::chrono::minutes(10);
+
+/// Applies the failure domain's state: out refuses what is queued; a return
+/// starts from the starting bound.
+template <class Sink> void apply_domain(agent_call<Sink> call) {
+    auto& state = call.state;
+    bool const is_out = state.is_out();
+    if (is_out)
+        refuse_queued(call);
+    if (is_out == state.was_out)
+        return;
+    state.was_out = is_out;
+    if (!is_out)
+        state.bound.start_cold();
+    log(call,
+        {.number = is_out ? agent_event::domain_out : agent_event::domain_back,
+            .step = step::read_document});
+}
+
+template <class Sink> void apply_leaving(agent_call<Sink> call) {
+    auto& state = call.state;
+    bool const is_leaving = state.is_leaving(call.now);
+    if (is_leaving == state.was_leaving)
+        return;
+    state.was_leaving = is_leaving;
+    state.leaving_since = call.now;
+    log(call,
+        {.number = is_leaving ? agent_event::leaving : agent_event::staying,
+            .step = step::hand_over,
+            .value = static_cast<std::int64_t>(state.flows.owned())});
+}
+
+/// Applies what the document says now.
+template <class Sink> void apply_view(agent_call<Sink> call) {
+    call.state.refresh(call.now);
+    apply_domain(call);
+    apply_leaving(call);
+    dispatch_queued(call);
+}
+
+/// Notes a pause of the process. Waits that began before it say nothing about
+/// the other side, so they start anew.
+template <class Sink> bool check_pause(agent_call<Sink> call) {
+    auto& state = call.state;
+    if (!state.view.check_pause(call.now, call.sink))
+        return false;
+    log(call, {.number = agent_event::paused, .step = step::receive});
+    state.refresh(call.now);
+    for (auto& it : state.connections.rows()) {
+        it.last_byte = call.now;
+        it.is_pinged = false;
+    }
+    for (auto& [opening, flow] : state.flows)
+        flow.out.step_since = call.now;
+    return true;
+}
+
+/// Time after which a flow without packets is forgotten.
+inline duration idle_time(agent_state const& state, flow_entry const& flow) {
+    switch (flow.state) {
+    case flow_state::reserved:
+        return state.options.reservation_time;
+    case flow_state::moved:
+        return moved_idle_time;
+    case flow_state::established:
+        break;
+    }
+    return state.options.flow_idle_time;
+}
+
+template <class Sink> void expire_flows(agent_call<Sink> call) {
+    auto& state = call.state;
+    std::vector<open_id> expired;
+    for (auto const& [opening, flow] : state.flows) {
+        bool const is_idle =
+            call.now >= flow.last_packet + idle_time(state, flow);
+        if (is_idle && flow.is_quiet() && !flow.out.is_committed())
+            expired.push_back(opening);
+    }
+    for (auto const opening : expired)
+        drop_flow(call, opening, false);
+}
+
+/// The systems of one tick.
+template <class Sink> void run_tick(agent_call<Sink> call) {
+    apply_view(call);
+    expire_requests(call);
+    maintain_connections(call);
+    dispatch_queued(call);
+    hand_over_flows(call);
+    repeat_moved(call);
+    continue_transfers(call);
+    expire_flows(call);
+    call.state.ledger.expire(call.now);
+}
+
+} // namespace radishspread::agent_internal
+
+#endif
--- a/packages/core/include/radishspread/core/rs_agent.hpp
+++ b/packages/core/include/radishspread/core/rs_agent.hpp
@@ -1,6 +1,7 @@
 #ifndef RADISHSPREAD_CORE_RS_AGENT_HPP
 #define RADISHSPREAD_CORE_RS_AGENT_HPP
 
+#include <radishspread/core/internal/rs_agent_state.hpp>
 #include <radishspread/core/rs_agent_options.hpp>
 #include <radishspread/core/rs_backend_event.hpp>
 #include <radishspread/core/rs_document.hpp>
@@ -50,10 +51,11 @@
     [[nodiscard]] document const& view() const;
 
 private:
-    agent_options options_;
-    document document_;
+    agent_internal::agent_state state_;
 };
 
 } // namespace radishspread
 
+#include <radishspread/core/internal/rs_agent_impl.hpp>
+
 #endif
--- a/packages/core/include/radishspread/core/rs_handover_reply.hpp
+++ b/packages/core/include/radishspread/core/rs_handover_reply.hpp
@@ -18,6 +18,7 @@
     open_id opening = 0; ///< From the `handover` that this answers.
     std::optional<route_cookie> cookie; ///< Empty if the flow was not taken.
     radishspread::reason reason = radishspread::reason::none;
+    incarnation_id target = 0; ///< From the `handover` that this answers.
 };
 
 } // namespace radishspread
--- /dev/null
+++ b/packages/core/src/rs_agent_answers.cpp
@@ -0,0 +1,62 @@
+#include <radishspread/core/internal/rs_agent_answers.hpp>
+
+namespace radishspread::agent_internal {
+
+namespace {
+
+/// Memory counted for each answer besides its body, so that empty answers are
+/// bounded too.
+constexpr std::size_t row_overhead = 128;
+
+} // namespace
+
+stored_answers::stored_answers(std::size_t max_total, std::size_t max_one)
+    : max_total_(max_total), max_one_(max_one) {}
+
+bool stored_answers::add(request_key key, std::span<std::byte const> body) {
+    auto const cost = body.size() + row_overhead;
+    if (body.size() > max_one_ || cost > max_total_)
+        return false;
+    erase(key);
+    while (size_ + cost > max_total_)
+        evict_one();
+    auto const position = waiting_.insert(waiting_.end(), key);
+    rows_.emplace(
+        key, row{.body = {body.begin(), body.end()}, .position = position});
+    size_ += cost;
+    return true;
+}
+
+std::optional<std::span<std::byte const>> stored_answers::find(
+    request_key key) const {
+    auto const it = rows_.find(key);
+    if (it == rows_.end())
+        return std::nullopt;
+    return std::span<std::byte const>(it->second.body);
+}
+
+void stored_answers::acknowledge(request_key key) {
+    auto const it = rows_.find(key);
+    if (it == rows_.end() || it->second.is_acknowledged)
+        return;
+    it->second.is_acknowledged = true;
+    acknowledged_.splice(acknowledged_.end(), waiting_, it->second.position);
+}
+
+void stored_answers::erase(request_key key) {
+    auto const it = rows_.find(key);
+    if (it == rows_.end())
+        return;
+    auto& order = it->second.is_acknowledged ? acknowledged_ : waiting_;
+    order.erase(it->second.position);
+    size_ -= it->second.body.size() + row_overhead;
+    rows_.erase(it);
+}
+
+void stored_answers::evict_one() {
+    auto const& order = acknowledged_.empty() ? waiting_ : acknowledged_;
+    auto const oldest = order.front();
+    erase(oldest);
+}
+
+} // namespace radishspread::agent_internal
