--- a/packages/core/include/radishspread/core/internal/rs_balancer_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_balancer_impl.hpp
@@ -82,6 +82,12 @@
         drop(balancer_event::domains_unknown);
         return;
     }
+    // The failure domain may have been taken out during the pause, or after
+    // the revision that a stale replica gave to a new process.
+    if (document_.is_proving(now)) {
+        drop(balancer_event::unproven_view);
+        return;
+    }
     if (document_.is_out(cookie.domain)) {
         drop(balancer_event::domain_out);
         reset(now, event, sink);
@@ -100,6 +106,7 @@
         caller_reply{.kind = reply_kind::reset,
             .service = packet.service,
             .flow = packet.flow,
+            .cookie = packet.cookie,
             .request = packet.request,
             .outcome = packet.request == 0 ? outcome::none : outcome::unknown,
             .reason = reason::domain_out,
--- a/packages/core/include/radishspread/core/rs_document.hpp
+++ b/packages/core/include/radishspread/core/rs_document.hpp
@@ -75,6 +75,8 @@
     [[nodiscard]] bool is_leaving(std::string_view host) const;
     /// True if the view is proven fresh since start and the last pause.
     [[nodiscard]] bool is_proven() const;
+    /// True while the view is unproven and `proof_timeout` has not passed.
+    [[nodiscard]] bool is_proving(instant now) const;
     /// Stamp for a message that concerns `service`.
     [[nodiscard]] stamp make_stamp(service_id service) const;
     /// Names and revisions of all sections in effect.
--- a/packages/core/src/rs_document.cpp
+++ b/packages/core/src/rs_document.cpp
@@ -41,6 +41,10 @@
     return table_.is_leaving(host);
 }
 
+bool document::is_proving(instant now) const {
+    return !proof_.is_proven && now - proof_.since < options_.proof_timeout;
+}
+
 bool document::is_proven() const {
     return proof_.is_proven;
 }
--- a/packages/wire/include/radishspread/wire/internal/rs_messages_generated.hpp
+++ b/packages/wire/include/radishspread/wire/internal/rs_messages_generated.hpp
@@ -1411,7 +1411,8 @@
     VT_FLOW = 6,
     VT_OPENING = 8,
     VT_WINDOW = 10,
-    VT_REPLY_TO = 12
+    VT_REPLY_TO = 12,
+    VT_TARGET = 14
   };
   const radishspread::wire::schema::Stamp *origin() const {
     return GetStruct<const radishspread::wire::schema::Stamp *>(VT_ORIGIN);
@@ -1428,6 +1429,9 @@
   const radishspread::wire::schema::Endpoint *reply_to() const {
     return GetStruct<const radishspread::wire::schema::Endpoint *>(VT_REPLY_TO);
   }
+  uint64_t target() const {
+    return GetField<uint64_t>(VT_TARGET, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<radishspread::wire::schema::Stamp>(verifier, VT_ORIGIN, 8) &&
@@ -1435,6 +1439,7 @@
            VerifyField<uint32_t>(verifier, VT_OPENING, 4) &&
            VerifyField<radishspread::wire::schema::RequestWindow>(verifier, VT_WINDOW, 8) &&
            VerifyField<radishspread::wire::schema::Endpoint>(verifier, VT_REPLY_TO, 4) &&
+           VerifyField<uint64_t>(verifier, VT_TARGET, 8) &&
            verifier.EndTable();
   }
 };
@@ -1458,6 +1463,9 @@
   void add_reply_to(const radishspread::wire::schema::Endpoint *reply_to) {
     fbb_.AddStruct(Handover::VT_REPLY_TO, reply_to);
   }
+  void add_target(uint64_t target) {
+    fbb_.AddElement<uint64_t>(Handover::VT_TARGET, target, 0);
+  }
   explicit HandoverBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1475,8 +1483,10 @@
     const radishspread::wire::schema::FlowKey *flow = nullptr,
     uint32_t opening = 0,
     const radishspread::wire::schema::RequestWindow *window = nullptr,
-    const radishspread::wire::schema::Endpoint *reply_to = nullptr) {
+    const radishspread::wire::schema::Endpoint *reply_to = nullptr,
+    uint64_t target = 0) {
   HandoverBuilder builder_(_fbb);
+  builder_.add_target(target);
   builder_.add_reply_to(reply_to);
   builder_.add_window(window);
   builder_.add_opening(opening);
@@ -1498,7 +1508,8 @@
     VT_FLOW = 6,
     VT_OPENING = 8,
     VT_COOKIE = 10,
-    VT_REASON = 12
+    VT_REASON = 12,
+    VT_TARGET = 14
   };
   const radishspread::wire::schema::Stamp *origin() const {
     return GetStruct<const radishspread::wire::schema::Stamp *>(VT_ORIGIN);
@@ -1515,6 +1526,9 @@
   radishspread::wire::schema::Reason reason() const {
     return static_cast<radishspread::wire::schema::Reason>(GetField<uint8_t>(VT_REASON, 0));
   }
+  uint64_t target() const {
+    return GetField<uint64_t>(VT_TARGET, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<radishspread::wire::schema::Stamp>(verifier, VT_ORIGIN, 8) &&
@@ -1522,6 +1536,7 @@
            VerifyField<uint32_t>(verifier, VT_OPENING, 4) &&
            VerifyField<radishspread::wire::schema::Cookie>(verifier, VT_COOKIE, 8) &&
            VerifyField<uint8_t>(verifier, VT_REASON, 1) &&
+           VerifyField<uint64_t>(verifier, VT_TARGET, 8) &&
            verifier.EndTable();
   }
 };
@@ -1545,6 +1560,9 @@
   void add_reason(radishspread::wire::schema::Reason reason) {
     fbb_.AddElement<uint8_t>(HandoverReply::VT_REASON, static_cast<uint8_t>(reason), 0);
   }
+  void add_target(uint64_t target) {
+    fbb_.AddElement<uint64_t>(HandoverReply::VT_TARGET, target, 0);
+  }
   explicit HandoverReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1562,8 +1580,10 @@
     const radishspread::wire::schema::FlowKey *flow = nullptr,
     uint32_t opening = 0,
     const radishspread::wire::schema::Cookie *cookie = nullptr,
-    radishspread::wire::schema::Reason reason = radishspread::wire::schema::Reason::none) {
+    radishspread::wire::schema::Reason reason = radishspread::wire::schema::Reason::none,
+    uint64_t target = 0) {
   HandoverReplyBuilder builder_(_fbb);
+  builder_.add_target(target);
   builder_.add_cookie(cookie);
   builder_.add_opening(opening);
   builder_.add_flow(flow);
--- a/packages/wire/src/rs_decoder.cpp
+++ b/packages/wire/src/rs_decoder.cpp
@@ -191,7 +191,8 @@
         .flow = from_schema(*it.flow()),
         .opening = it.opening(),
         .window = from_schema(*it.window()),
-        .reply_to = from_schema(*it.reply_to())};
+        .reply_to = from_schema(*it.reply_to()),
+        .target = it.target()};
     return check(out);
 }
 
@@ -203,7 +204,8 @@
         .flow = from_schema(*it.flow()),
         .opening = it.opening(),
         .cookie = read(it.cookie()),
-        .reason = static_cast<reason>(it.reason())};
+        .reason = static_cast<reason>(it.reason()),
+        .target = it.target()};
     return check(out);
 }
 
--- a/packages/wire/src/rs_encoder.cpp
+++ b/packages/wire/src/rs_encoder.cpp
@@ -129,7 +129,7 @@
     auto const window = to_schema(it.window);
     auto const reply_to = to_schema(it.reply_to);
     return schema::CreateHandover(
-        buf, &origin, &flow, it.opening, &window, &reply_to);
+        buf, &origin, &flow, it.opening, &window, &reply_to, it.target);
 }
 
 flatbuffers::Offset<schema::HandoverReply> add(
@@ -138,7 +138,7 @@
     auto const flow = to_schema(it.flow);
     return schema::CreateHandoverReply(buf, &origin, &flow, it.opening,
         optional_cookie(it.cookie).get(),
-        static_cast<schema::Reason>(it.reason));
+        static_cast<schema::Reason>(it.reason), it.target);
 }
 
 } // namespace
--- a/packages/wire/tests/rs_codec_test.cpp
+++ b/packages/wire/tests/rs_codec_test.cpp
@@ -62,14 +62,16 @@
 
 bool equal(handover const& a, handover const& b) {
     auto fields = [](handover const& it) {
-        return std::tie(it.origin, it.flow, it.opening, it.window, it.reply_to);
+        return std::tie(
+            it.origin, it.flow, it.opening, it.window, it.reply_to, it.target);
     };
     return fields(a) == fields(b);
 }
 
 bool equal(handover_reply const& a, handover_reply const& b) {
     auto fields = [](handover_reply const& it) {
-        return std::tie(it.origin, it.flow, it.opening, it.cookie, it.reason);
+        return std::tie(
+            it.origin, it.flow, it.opening, it.cookie, it.reason, it.target);
     };
     return fields(a) == fields(b);
 }
--- a/packages/wire/tests/rs_sample_messages.hpp
+++ b/packages/wire/tests/rs_sample_messages.hpp
@@ -33,9 +33,9 @@
 inline peer_digest const sample_digest{sample_stamp, 41, true, true, true, 42,
     {max_digest_entries, digest_entry{sample_name, 43}}};
 inline handover const sample_handover{
-    sample_stamp, sample_flow, 51, {52, 53}, {0x7f000006, 9003}};
+    sample_stamp, sample_flow, 51, {52, 53}, {0x7f000006, 9003}, 54};
 inline handover_reply const sample_handover_reply{
-    sample_stamp, sample_flow, 51, sample_cookie, reason::draining};
+    sample_stamp, sample_flow, 51, sample_cookie, reason::draining, 55};
 
 } // namespace radishspread::wire
 
--- /dev/null
+++ b/tests/fakes/rs_agent_process.cpp
@@ -0,0 +1,155 @@
+#include <fakes/rs_agent_process.hpp>
+#include <fakes/rs_payload.hpp>
+#include <fakes/rs_world.hpp>
+
+namespace radishspread::fakes {
+
+agent_process::agent_process(world& owner, process_facts facts,
+    agent_options options, fake_backend& backend)
+    : process(owner, facts), backend_(backend), core_(std::move(options)) {}
+
+agent_process::~agent_process() {
+    backend_.disconnect();
+}
+
+void agent_process::start() {
+    core_.start(world_.queue.now(), *this);
+}
+
+void agent_process::tick() {
+    core_.tick(world_.queue.now(), *this);
+}
+
+void agent_process::receive(std::span<std::byte const> datagram) {
+    wire::peer_message message;
+    if (wire::decode(shared_key, datagram, message))
+        return;
+    auto const now = world_.queue.now();
+    if (auto* const it = std::get_if<forward>(&message))
+        receive_forward(*it);
+    else if (auto const* const digest = std::get_if<peer_digest>(&message))
+        core_.handle(now, *digest, *this);
+    else if (auto const* const request = std::get_if<handover>(&message))
+        core_.handle(now, *request, *this);
+    else if (auto const* const result = std::get_if<handover_reply>(&message))
+        core_.handle(now, *result, *this);
+}
+
+void agent_process::receive_forward(forward& it) {
+    world_.filter().agent_receives(it);
+    has_dispatched_ = false;
+    core_.handle(world_.queue.now(), it, *this);
+    bool const is_waiting =
+        it.packet.kind == packet_kind::request && !has_dispatched_;
+    if (is_waiting)
+        world_.reached(it.caller, milestone::queued);
+}
+
+void agent_process::stop(duration deadline) {
+    is_stopping = true;
+    core_.handle(world_.queue.now(), stop_event{deadline}, *this);
+}
+
+bool agent_process::is_finished() const {
+    return core_.is_finished(world_.queue.now());
+}
+
+document const& agent_process::view() const {
+    return core_.view();
+}
+
+void agent_process::send_forward(endpoint to, forward const& packet) {
+    if (packet.packet.kind == packet_kind::open)
+        world_.reached(packet.caller, milestone::passed_on);
+    world_.observe_stamp(*this, packet.origin);
+    world_.observe_forward(*this, to, packet);
+    world_.send_datagram(*this, to, encoder_.encode(packet));
+}
+
+void agent_process::send_deliver(endpoint to, deliver const& reply) {
+    auto changed = reply;
+    world_.filter().agent_replies(changed.reply);
+    world_.observe_stamp(*this, reply.origin);
+    auto const& it = changed.reply;
+    if (it.kind == reply_kind::opened)
+        world_.note({.what = seen::new_flow_at,
+            .backend = backend_.options().id,
+            .domain = facts().domain,
+            .process = facts().self});
+    bool const is_part = it.kind == reply_kind::answer &&
+                         it.offset + it.payload.size() < it.total;
+    if (is_part)
+        world_.reached(changed.caller, milestone::answering);
+    world_.send_datagram(*this, to, encoder_.encode(changed));
+}
+
+void agent_process::send_handover(endpoint to, handover const& request) {
+    world_.observe_stamp(*this, request.origin);
+    world_.send_datagram(*this, to, encoder_.encode(request));
+}
+
+void agent_process::send_handover_reply(
+    endpoint to, handover_reply const& result) {
+    world_.observe_stamp(*this, result.origin);
+    world_.send_datagram(*this, to, encoder_.encode(result));
+}
+
+void agent_process::connect(std::uint64_t connection) {
+    auto handler = [owner = &world_, at = facts().self, life = facts().life](
+                       backend_event const& event,
+                       std::vector<std::byte> body) {
+        auto* const it = dynamic_cast<agent_process*>(owner->find(at));
+        if (it == nullptr || it->facts().life != life)
+            return;
+        it->post([it, event, body = std::move(body)] {
+            it->on_backend(event, body);
+        });
+    };
+    backend_.connect(connection, std::move(handler));
+}
+
+void agent_process::on_backend(
+    backend_event event, std::vector<std::byte> const& body) {
+    event.body = body;
+    world_.filter().backend_reports(event);
+    core_.handle(world_.queue.now(), event, *this);
+}
+
+void agent_process::ping(std::uint64_t /*connection*/) {
+    backend_.ping();
+}
+
+void agent_process::disconnect(std::uint64_t /*connection*/) {
+    backend_.disconnect();
+}
+
+void agent_process::dispatch(
+    std::uint64_t /*connection*/, backend_request const& request) {
+    has_dispatched_ = true;
+    auto const to = world_.filter().dispatches_to(backend_.options().id);
+    auto const id = read_payload(request.payload).id;
+    world_.backend(to).dispatch(request);
+    world_.reached_request(id, milestone::dispatched);
+}
+
+void agent_process::cancel(std::uint64_t /*connection*/, dispatch_id id) {
+    backend_.cancel(id);
+}
+
+void agent_process::on(section_event const& event) {
+    core_.handle(world_.queue.now(), event, *this);
+}
+
+void agent_process::on(read_failed_event const& event) {
+    core_.handle(world_.queue.now(), event, *this);
+}
+
+void agent_process::on(watch_event const& event) {
+    core_.handle(world_.queue.now(), event, *this);
+}
+
+void agent_process::on(watch_failed_event const& event) {
+    core_.handle(world_.queue.now(), event, *this);
+}
+
+} // namespace radishspread::fakes
--- /dev/null
+++ b/tests/fakes/rs_deployment.hpp
@@ -0,0 +1,40 @@
+#ifndef RADISHSPREAD_TESTS_FAKES_RS_DEPLOYMENT_HPP
+#define RADISHSPREAD_TESTS_FAKES_RS_DEPLOYMENT_HPP
+
+#include <radishspread/core/rs_domains_section.hpp>
+#include <radishspread/core/rs_service_section.hpp>
+#include <radishspread/core/rs_time.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace radishspread::fakes {
+
+/// Sizes and delays of one fleet.
+struct deployment {
+    std::string name;
+    std::uint16_t failure_domains = 3;
+    std::uint32_t balancers = 3;
+    std::uint32_t slots = 7;
+    std::uint32_t connections = 2000;
+    std::vector<std::uint32_t> backends_per_service{7, 3};
+    duration between_domains = std::chrono::microseconds(500);
+    duration to_callers = std::chrono::milliseconds(3);
+};
+
+[[nodiscard]] deployment balkonbloei();
+[[nodiscard]] deployment nashama();
+
+/// Peer endpoints of the processes, by number from 0.
+[[nodiscard]] endpoint balancer_endpoint(std::uint32_t number);
+[[nodiscard]] endpoint agent_endpoint(backend_id id);
+
+/// Sections that describe the deployment.
+[[nodiscard]] domains_section make_domains(deployment const& it);
+[[nodiscard]] service_section make_service(
+    deployment const& it, service_id service);
+
+} // namespace radishspread::fakes
+
+#endif
--- /dev/null
+++ b/tests/fakes/rs_fake_backend.cpp
@@ -0,0 +1,175 @@
+#include <fakes/rs_fake_backend.hpp>
+#include <fakes/rs_payload.hpp>
+
+#include <algorithm>
+
+namespace radishspread::fakes {
+
+using namespace std::chrono_literals;
+
+namespace {
+constexpr duration link_delay = 100us;
+} // namespace
+
+fake_backend::fake_backend(
+    event_queue& queue, observations& log, fake_backend_options options)
+    : queue_(queue), log_(log), options_(options), random_(options.seed) {}
+
+void fake_backend::connect(std::uint64_t connection, event_handler handler) {
+    handler_ = std::move(handler);
+    connection_ = connection;
+    ++session_;
+    bool const is_up = queue_.now() >= crashed_until_;
+    report(session_, {.kind = is_up ? backend_event_kind::connected
+                                    : backend_event_kind::closed,
+                         .max_streams = 100});
+}
+
+void fake_backend::disconnect() {
+    // A server aborts the streams of a connection that was closed.
+    std::erase_if(
+        runs_, [&](auto const& it) { return it.second.session == session_; });
+    ++session_;
+}
+
+void fake_backend::ping() {
+    report(session_, {.kind = backend_event_kind::progress});
+}
+
+void fake_backend::silence() {
+    silent_ = session_;
+    // The server times these runs out on its own; their answers are lost.
+    runs_.clear();
+}
+
+void fake_backend::report(
+    std::uint64_t session, backend_event event, std::vector<std::byte> body) {
+    event.connection = connection_;
+    queue_.after(
+        link_delay, [this, session, event, body = std::move(body)]() mutable {
+            if (session == session_ && session != silent_ && handler_)
+                handler_(event, std::move(body));
+        });
+}
+
+std::uint32_t fake_backend::capacity() const {
+    if (!is_cold())
+        return options_.slots;
+    // Grows twice as fast as an agent may assume, so that only an agent that
+    // disregards its own bound exceeds it.
+    std::uint32_t bound = std::max(1U, options_.slots / 8);
+    std::uint32_t left = finished_since_cold_;
+    while (bound < options_.slots && left >= 2 * bound) {
+        left -= 2 * bound;
+        ++bound;
+    }
+    return bound;
+}
+
+bool fake_backend::is_cold() const {
+    return is_cold_ && finished_since_cold_ <
+                           2 * options_.slots * std::max(2U, options_.slots);
+}
+
+std::uint32_t fake_backend::occupied() const {
+    return static_cast<std::uint32_t>(runs_.size());
+}
+
+std::vector<identity> fake_backend::running() const {
+    std::vector<identity> ids;
+    for (auto const& [id, it] : runs_)
+        ids.push_back(it.id);
+    return ids;
+}
+
+duration fake_backend::run_duration() {
+    std::uniform_real_distribution<double> spread(0.7, 1.3);
+    double const slowdown = is_cold() ? 5.0 : 1.0;
+    return std::chrono::duration_cast<duration>(
+        options_.run_time * slowdown * spread(random_));
+}
+
+void fake_backend::turn_away(dispatch_id id) {
+    bool const is_refused = ++shed_count_ % 2 == 0;
+    report(session_, {.kind = is_refused ? backend_event_kind::refused
+                                         : backend_event_kind::answered,
+                         .id = id,
+                         .status = 503});
+}
+
+void fake_backend::dispatch(backend_request const& request) {
+    if (session_ == dead_)
+        return lost_.push_back(request.id);
+    if (queue_.now() < shed_until_)
+        return turn_away(request.id);
+    auto const payload = read_payload(request.payload);
+    auto const number = ++next_run_;
+    if (session_ != silent_)
+        runs_[number] = {payload.id, request.id, session_};
+    log_.push_back({.at = queue_.now(),
+        .what = seen::run_started,
+        .id = payload.id,
+        .service = options_.service,
+        .backend = options_.id,
+        .domain = options_.domain});
+    if (occupied() > capacity())
+        log_.push_back({.at = queue_.now(),
+            .what = seen::over_capacity,
+            .backend = options_.id,
+            .value = occupied()});
+    queue_.after(
+        run_duration(), [this, number, body = make_answer(payload)]() mutable {
+            end_run(number, std::move(body));
+        });
+}
+
+void fake_backend::end_run(std::uint64_t number, std::vector<std::byte> body) {
+    auto const it = runs_.find(number);
+    if (it == runs_.end())
+        return;
+    auto const ended = it->second;
+    runs_.erase(it);
+    ++finished_since_cold_;
+    log_.push_back({.at = queue_.now(),
+        .what = seen::run_ended,
+        .id = ended.id,
+        .backend = options_.id});
+    report(ended.session,
+        {.kind = backend_event_kind::answered,
+            .id = ended.dispatch,
+            .status = 200},
+        std::move(body));
+}
+
+void fake_backend::cancel(dispatch_id id) {
+    std::erase_if(runs_, [&](auto const& it) {
+        return it.second.dispatch == id && it.second.session == session_;
+    });
+}
+
+void fake_backend::crash_until(instant end) {
+    crashed_until_ = end;
+    for (auto const& [number, it] : runs_)
+        if (it.session == session_)
+            lost_.push_back(it.dispatch);
+    runs_.clear();
+    turn_cold();
+    dead_ = session_;
+    // Until the agent learns of it, it dispatches into the dead connection.
+    queue_.after(link_delay, [this, session = session_] {
+        auto const lost = std::move(lost_);
+        lost_.clear();
+        if (session != session_ || !handler_)
+            return;
+        for (auto const id : lost)
+            handler_({.kind = backend_event_kind::lost,
+                         .connection = connection_,
+                         .id = id},
+                {});
+        handler_(
+            {.kind = backend_event_kind::closed, .connection = connection_},
+            {});
+    });
+}
+
+} // namespace radishspread::fakes
--- /dev/null
+++ b/tests/fakes/rs_fake_backend.hpp
@@ -0,0 +1,96 @@
+#ifndef RADISHSPREAD_TESTS_FAKES_RS_FAKE_BACKEND_HPP
+#define RADISHSPREAD_TESTS_FAKES_RS_FAKE_BACKEND_HPP
+
+#include <fakes/rs_event_queue.hpp>
+#include <fakes/rs_observation.hpp>
+#include <radishspread/core/rs_backend_event.hpp>
+#include <radishspread/core/rs_backend_request.hpp>
+
+#include <functional>
+#include <map>
+#include <random>
+#include <vector>
+
+namespace radishspread::fakes {
+
+/// Settings of a fake backend server.
+struct fake_backend_options {
+    backend_id id = 0;
+    service_id service = 0;
+    domain_id domain = 0;
+    std::uint32_t slots = 1;
+    duration run_time = std::chrono::milliseconds(60);
+    std::uint64_t seed = 0;
+};
+
+/// A backend server that runs requests, can be cold, shed, crash or go silent,
+/// and records every run.
+class fake_backend {
+public:
+    using event_handler =
+        std::function<void(backend_event const&, std::vector<std::byte>)>;
+
+    fake_backend(
+        event_queue& queue, observations& log, fake_backend_options options);
+
+    /// Requests from the agent; events go to `handler` of that connection.
+    void connect(std::uint64_t connection, event_handler handler);
+    void disconnect();
+    void ping();
+    void dispatch(backend_request const& request);
+    void cancel(dispatch_id id);
+
+    void turn_cold() {
+        finished_since_cold_ = 0;
+        is_cold_ = true;
+    }
+    void shed_until(instant end) { shed_until_ = end; }
+    void crash_until(instant end);
+    /// The present connection carries nothing more; new ones work.
+    void silence();
+    [[nodiscard]] std::uint32_t occupied() const;
+    [[nodiscard]] std::uint32_t capacity() const;
+    [[nodiscard]] bool is_cold() const;
+    [[nodiscard]] fake_backend_options const& options() const {
+        return options_;
+    }
+    /// Runs that would be cut if the agent left now.
+    [[nodiscard]] std::vector<identity> running() const;
+
+private:
+    /// One run, kept under a number of its own: dispatch ids start again with
+    /// each agent process.
+    struct run {
+        identity id = 0;
+        dispatch_id dispatch = 0;
+        std::uint64_t session = 0;
+    };
+
+    void report(std::uint64_t session, backend_event event,
+        std::vector<std::byte> body = {});
+    void end_run(std::uint64_t number, std::vector<std::byte> body);
+    void turn_away(dispatch_id id);
+    [[nodiscard]] duration run_duration();
+
+    event_queue& queue_;
+    observations& log_;
+    fake_backend_options options_;
+    std::mt19937_64 random_;
+    event_handler handler_;
+    std::uint64_t session_ = 0;    ///< Counts connections.
+    std::uint64_t connection_ = 0; ///< The agent's number of the present one.
+    std::uint64_t silent_ = 0;
+    std::uint64_t dead_ = 0; ///< Session that ended with a crash.
+    std::vector<dispatch_id> lost_;
+    std::uint64_t next_run_ = 0;
+    std::map<std::uint64_t, run> runs_;
+    bool is_cold_ = true;
+    std::uint32_t finished_since_cold_ = 0;
+    instant shed_until_;
+    instant crashed_until_;
+    std::uint32_t shed_count_ = 0;
+};
+
+} // namespace radishspread::fakes
+
+#endif
--- /dev/null
+++ b/tests/fakes/rs_fake_caller.cpp
@@ -0,0 +1,165 @@
+#include <fakes/rs_fake_caller.hpp>
+#include <fakes/rs_world.hpp>
+#include <radishspread/wire/rs_codec.hpp>
+
+namespace radishspread::fakes {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Attempts share an identity but for its lowest three bits.
+constexpr identity attempt_mask = 7;
+constexpr identity max_attempts = 4;
+constexpr duration reopen_delay = 300ms;
+
+} // namespace
+
+fake_caller::fake_caller(world& owner, fake_caller_options options)
+    : world_(owner), options_(options) {}
+
+observation fake_caller::make(seen what, identity id) const {
+    return {.what = what, .id = id, .flow = flow_, .service = options_.service};
+}
+
+void fake_caller::open() {
+    static_assert(sizeof(flow_id) == 8);
+    flow_ = static_cast<std::uint32_t>(world_.next_identity() / 8);
+    session_.emplace(
+        caller_session_options{.service = options_.service, .flow = flow_});
+    sent_.clear();
+    noted_.reset();
+    is_lost_ = false;
+    session_->open(world_.queue.now(), *this);
+}
+
+void fake_caller::send_request(
+    bool idempotent, std::uint32_t answer_size, bool is_last_check) {
+    request_payload const payload{.id = world_.next_identity(),
+        .service = options_.service,
+        .answer_size = answer_size};
+    ++requests_sent_;
+    next_request_ = world_.queue.now() + options_.pause;
+    start({payload, idempotent, is_last_check});
+}
+
+void fake_caller::start(sent_request const& it) {
+    auto observed = make(seen::request_started, it.payload.id);
+    observed.flag = it.idempotent;
+    observed.value = it.is_last_check ? 1 : 0;
+    // The id is known before the first packet leaves, since ids count up.
+    auto const id = session_->request(world_.queue.now(), to_bytes(it.payload),
+        it.idempotent, options_.deadline, *this);
+    if (id == 0)
+        return;
+    world_.note(observed);
+    sent_[id] = it;
+}
+
+void fake_caller::close() {
+    world_.note(make(seen::flow_closed));
+    world_.reached(options_.address, milestone::closing);
+    is_finished_ = !options_.is_long;
+    if (session_)
+        session_->close(world_.queue.now(), *this);
+}
+
+void fake_caller::handle(std::span<std::byte const> datagram) {
+    caller_reply reply;
+    if (!session_ || wire::decode(datagram, reply))
+        return;
+    if (reply.outcome == outcome::not_run && reply.request != 0 &&
+        reply.flow == flow_ && sent_.contains(reply.request))
+        world_.note(
+            make(seen::not_run_replied, sent_[reply.request].payload.id));
+    session_->handle(world_.queue.now(), reply, *this);
+    note_cookie();
+}
+
+void fake_caller::note_cookie() {
+    auto const now_held = session_->cookie();
+    if (!now_held || now_held == noted_ || session_->is_lost())
+        return;
+    noted_ = now_held;
+    auto observed = make(seen::flow_established);
+    observed.process = now_held->agent;
+    world_.note(observed);
+}
+
+void fake_caller::next_request() {
+    if (options_.is_long || requests_sent_ < options_.requests) {
+        bool const idempotent = requests_sent_ % 3 != 0;
+        return send_request(idempotent, requests_sent_ % 4 == 1 ? 2500 : 40);
+    }
+    if (session_->outstanding() == 0)
+        close();
+}
+
+void fake_caller::tick() {
+    auto const now = world_.queue.now();
+    if (is_finished_)
+        return;
+    if (is_lost_ && options_.is_long && now >= reopen_at_)
+        open();
+    if (!session_ || session_->is_lost())
+        return;
+    session_->tick(now, *this);
+    note_cookie();
+    if (is_open() && now >= next_request_)
+        next_request();
+}
+
+bool fake_caller::owns(identity id) const {
+    for (auto const& [number, it] : sent_)
+        if (it.payload.id == id)
+            return true;
+    return false;
+}
+
+std::optional<route_cookie> fake_caller::cookie() const {
+    return session_ ? session_->cookie() : std::nullopt;
+}
+
+void fake_caller::send(caller_packet const& packet) {
+    if (packet.kind == packet_kind::open)
+        world_.reached(options_.address, milestone::opening);
+    world_.send_from_caller(options_.service, options_.address, packet);
+}
+
+void fake_caller::finished(finished_request& it) {
+    auto const found = sent_.find(it.request);
+    if (found == sent_.end())
+        return;
+    auto const ended = found->second;
+    auto observed = make(seen::request_ended, ended.payload.id);
+    observed.result = it.result;
+    // A 503 of the backend server is an answer without a body.
+    observed.flag = it.result != request_result::answered || it.status == 503 ||
+                    it.body == make_answer(ended.payload);
+    world_.note(observed);
+    world_.reached(options_.address, milestone::answered);
+    bool const may_retry = it.result == request_result::not_run &&
+                           (ended.payload.id & attempt_mask) + 1 < max_attempts;
+    if (may_retry && session_ && !session_->is_lost() && !is_finished_) {
+        auto again = ended;
+        ++again.payload.id;
+        world_.queue.after(200ms, [this, flow = flow_, again] {
+            if (flow == flow_ && is_open())
+                start(again);
+        });
+    }
+}
+
+void fake_caller::flow_lost(reason why) {
+    auto observed = make(seen::flow_lost);
+    observed.value = static_cast<std::int64_t>(why);
+    observed.flag = noted_.has_value();
+    if (noted_)
+        observed.process = noted_->agent;
+    world_.note(observed);
+    is_lost_ = true;
+    is_finished_ = !options_.is_long;
+    reopen_at_ = world_.queue.now() + reopen_delay;
+}
+
+} // namespace radishspread::fakes
--- /dev/null
+++ b/tests/fakes/rs_fake_caller.hpp
@@ -0,0 +1,83 @@
+#ifndef RADISHSPREAD_TESTS_FAKES_RS_FAKE_CALLER_HPP
+#define RADISHSPREAD_TESTS_FAKES_RS_FAKE_CALLER_HPP
+
+#include <fakes/rs_observation.hpp>
+#include <fakes/rs_payload.hpp>
+#include <radishspread/caller/rs_caller_session.hpp>
+
+#include <map>
+#include <optional>
+
+namespace radishspread::fakes {
+
+class world;
+
+/// Settings of a fake caller.
+struct fake_caller_options {
+    service_id service = 0;
+    endpoint address;
+    bool is_long = false; ///< Keeps its flow and reopens it if lost.
+    duration pause = std::chrono::milliseconds(1500); ///< Between requests.
+    std::uint32_t requests = 1; ///< Of a short flow, which then closes.
+    duration deadline = std::chrono::seconds(4); ///< Of one request.
+};
+
+/// A caller with one flow at a time. It sends a request that ended as "not
+/// run" again, as callers do, which exposes an untrue "not run".
+class fake_caller {
+public:
+    fake_caller(world& owner, fake_caller_options options);
+
+    void open();
+    void send_request(
+        bool idempotent, std::uint32_t answer_size, bool is_last_check = false);
+    void close();
+    void handle(std::span<std::byte const> datagram);
+    void tick();
+
+    [[nodiscard]] bool is_open() const {
+        return session_ && session_->is_open();
+    }
+    [[nodiscard]] std::optional<route_cookie> cookie() const;
+    [[nodiscard]] fake_caller_options const& options() const {
+        return options_;
+    }
+    [[nodiscard]] std::uint32_t flow() const { return flow_; }
+    [[nodiscard]] bool is_finished() const { return is_finished_; }
+
+    /// True if `id` is a request of the present flow.
+    [[nodiscard]] bool owns(identity id) const;
+
+    // Actions of `caller_session`.
+    void send(caller_packet const& packet);
+    void finished(finished_request& it);
+    void flow_lost(reason why);
+
+private:
+    struct sent_request {
+        request_payload payload;
+        bool idempotent = false;
+        bool is_last_check = false;
+    };
+
+    void start(sent_request const& it);
+    void next_request();
+    void note_cookie();
+    [[nodiscard]] observation make(seen what, identity id = 0) const;
+
+    world& world_;
+    fake_caller_options options_;
+    std::optional<caller_session> session_;
+    std::map<request_id, sent_request> sent_;
+    std::optional<route_cookie> noted_;
+    std::uint32_t flow_ = 0;
+    std::uint32_t requests_sent_ = 0;
+    instant next_request_;
+    instant reopen_at_;
+    bool is_lost_ = false;
+    bool is_finished_ = false;
+};
+
+} // namespace radishspread::fakes
+
+#endif
--- /dev/null
+++ b/tests/fakes/rs_packet_faults.hpp
@@ -0,0 +1,41 @@
+#ifndef RADISHSPREAD_TESTS_FAKES_RS_PACKET_FAULTS_HPP
+#define RADISHSPREAD_TESTS_FAKES_RS_PACKET_FAULTS_HPP
+
+#include <radishspread/core/rs_time.hpp>
+
+#include <random>
+#include <vector>
+
+namespace radishspread::fakes {
+
+/// What happens to datagrams: each probability is for one datagram.
+struct packet_faults {
+    double lost = 0;
+    double duplicated = 0;
+    double late = 0;
+    duration lateness = std::chrono::milliseconds(700);
+    duration reordering{0}; ///< Largest extra delay of every datagram.
+
+    /// Extra delays of the copies that arrive; empty if the datagram is lost.
+    [[nodiscard]] std::vector<duration> draw(std::mt19937_64& random) const {
+        std::uniform_real_distribution<double> chance(0, 1);
+        std::vector<duration> copies;
+        if (chance(random) < lost)
+            return copies;
+        int const n = chance(random) < duplicated ? 2 : 1;
+        for (int i = 0; i < n; ++i) {
+            duration extra{0};
+            if (chance(random) < late)
+                extra += lateness;
+            if (reordering.count() > 0)
+                extra += duration(std::uniform_int_distribution<long>(
+                    0, reordering.count())(random));
+            copies.push_back(extra);
+        }
+        return copies;
+    }
+};
+
+} // namespace radishspread::fakes
+
+#endif
--- /dev/null
+++ b/tests/fakes/rs_process.hpp
@@ -0,0 +1,94 @@
+#ifndef RADISHSPREAD_TESTS_FAKES_RS_PROCESS_HPP
+#define RADISHSPREAD_TESTS_FAKES_RS_PROCESS_HPP
+
+#include <radishspread/core/rs_document.hpp>
+#include <radishspread/core/rs_fleet_key.hpp>
+#include <radishspread/wire/rs_codec.hpp>
+
+#include <functional>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace radishspread::fakes {
+
+class world;
+
+/// Key of every fake fleet.
+inline constexpr fleet_key shared_key{{7, 7, 7}};
+
+/// Identity of a process and what it runs in.
+struct process_facts {
+    endpoint self;
+    domain_id domain = 0;
+    incarnation_id incarnation = 0;
+    std::uint64_t life = 0; ///< Distinguishes restarts at one endpoint.
+    duration learns_late{0};
+};
+
+/// A balancer or agent: the shell around a core. Carries the actions on the
+/// document, which both cores share.
+class process {
+public:
+    process(world& owner, process_facts facts);
+    virtual ~process() = default;
+    process(process const&) = delete;
+    process& operator=(process const&) = delete;
+
+    virtual void start() = 0;
+    virtual void tick() = 0;
+    virtual void receive(std::span<std::byte const> datagram) = 0;
+    /// A packet from a caller; only balancers expect any.
+    virtual void receive_from_caller(service_id /*port*/, endpoint /*caller*/,
+        std::span<std::byte const> /*datagram*/) {}
+    virtual void stop(duration deadline) = 0;
+    [[nodiscard]] virtual bool is_finished() const = 0;
+    [[nodiscard]] virtual document const& view() const = 0;
+    [[nodiscard]] virtual bool is_balancer() const = 0;
+
+    /// Runs `action` now, or on resumption if the process is paused.
+    void post(std::function<void()> action);
+    /// The same for a datagram, which the core may discard instead.
+    void post_datagram(std::function<void()> action);
+    void pause() { is_paused_ = true; }
+    void resume();
+
+    [[nodiscard]] process_facts const& facts() const { return facts_; }
+    [[nodiscard]] bool is_paused() const { return is_paused_; }
+    void learn_after(duration delay) { facts_.learns_late = delay; }
+    bool is_stopping = false;
+    int group = 0;
+
+    // Actions of `document_sink`.
+    void read_section(std::string_view name);
+    void watch(std::uint64_t after);
+    void pull_section(endpoint peer, std::string_view name);
+    void pull_index(endpoint peer);
+    void send_digest(endpoint peer, peer_digest const& digest);
+    void section_in_force(section_ptr const& /*value*/) {}
+    void discard_queued() { datagrams_.clear(); }
+    void log(log_event const& /*event*/) {}
+
+protected:
+    virtual void on(section_event const& event) = 0;
+    virtual void on(read_failed_event const& event) = 0;
+    virtual void on(watch_event const& event) = 0;
+    virtual void on(watch_failed_event const& event) = 0;
+
+    world& world_;
+    wire::encoder encoder_{shared_key};
+
+private:
+    void learn(section_ptr value, std::string name, endpoint peer);
+    [[nodiscard]] std::function<void()> guarded(
+        std::function<void(process&)> action);
+
+    process_facts facts_;
+    bool is_paused_ = false;
+    std::vector<std::function<void()>> actions_;
+    std::vector<std::function<void()>> datagrams_;
+};
+
+} // namespace radishspread::fakes
+
+#endif
--- /dev/null
+++ b/tests/fakes/rs_world.cpp
@@ -0,0 +1,411 @@
+#include <fakes/rs_agent_process.hpp>
+#include <fakes/rs_balancer_process.hpp>
+#include <fakes/rs_world.hpp>
+
+#include <algorithm>
+
+namespace radishspread::fakes {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr duration tick_interval = 50ms;
+constexpr duration within_domain = 100us;
+/// A fabric needs this long to notice that a balancer is gone.
+constexpr duration fabric_delay = 500ms;
+
+std::uint32_t service_of(deployment const& fleet, backend_id id) {
+    std::uint32_t service = 1;
+    for (auto const n : fleet.backends_per_service) {
+        if (id <= n)
+            return service;
+        id -= n;
+        ++service;
+    }
+    return 0;
+}
+
+std::string service_name(service_id id) {
+    return "service/service-" + std::to_string(id);
+}
+
+} // namespace
+
+world::world(deployment fleet, std::uint64_t seed, action_filter& filter)
+    : fleet_(std::move(fleet)), random_(seed), filter_(filter) {
+    configuration.publish("domains", make_domains(fleet_));
+    backend_id last = 0;
+    auto const services =
+        static_cast<service_id>(fleet_.backends_per_service.size());
+    for (service_id id = 1; id <= services; ++id) {
+        auto section = make_service(fleet_, id);
+        last = section.backend_servers.back().id;
+        configuration.publish(service_name(id), std::move(section));
+    }
+    for (domain_id id = 1; id <= fleet_.failure_domains; ++id)
+        configuration.publish(
+            "hosts/domain-" + std::to_string(id), hosts_section{});
+    for (backend_id id = 1; id <= last; ++id) {
+        backends_[id] = std::make_unique<fake_backend>(queue, log,
+            fake_backend_options{.id = id,
+                .service = service_of(fleet_, id),
+                .domain = domain_of(agent_endpoint(id)),
+                .slots = fleet_.slots,
+                .seed = seed ^ id});
+        add_agent(id);
+    }
+    for (std::uint32_t n = 0; n < fleet_.balancers; ++n)
+        add_balancer(n);
+}
+
+world::~world() = default;
+
+void world::note(observation it) {
+    it.at = queue.now();
+    log.push_back(it);
+}
+
+process* world::find(endpoint it) {
+    auto const found = processes_.find(it);
+    return found == processes_.end() ? nullptr : found->second.get();
+}
+
+fake_backend& world::backend(backend_id id) {
+    return *backends_.at(id);
+}
+
+backend_id world::backend_of(endpoint agent) const {
+    return agent.address - agent_endpoint(0).address;
+}
+
+domain_id world::domain_of(endpoint agent) const {
+    auto const id = backend_of(agent);
+    backend_id first = 1;
+    for (auto const n : fleet_.backends_per_service) {
+        if (id < first + n)
+            return static_cast<domain_id>(
+                (id - first) % fleet_.failure_domains + 1);
+        first += n;
+    }
+    return 0;
+}
+
+std::vector<endpoint> world::endpoints(bool balancers) const {
+    std::vector<endpoint> found;
+    for (auto const& [at, it] : processes_)
+        if (it->is_balancer() == balancers)
+            found.push_back(at);
+    return found;
+}
+
+namespace {
+
+document_options make_document(
+    world& it, process_facts const& facts, bool is_balancer) {
+    document_options made{.self = facts.self,
+        .incarnation = facts.incarnation,
+        .is_balancer = is_balancer,
+        .failure_domain = "domain-" + std::to_string(facts.domain),
+        .seed = it.random()()};
+    for (std::uint32_t n = 0; n < it.fleet().balancers; ++n)
+        if (balancer_endpoint(n) != facts.self)
+            made.peers.push_back(balancer_endpoint(n));
+    return made;
+}
+
+} // namespace
+
+void world::add_balancer(std::uint32_t number) {
+    process_facts const facts{.self = balancer_endpoint(number),
+        .domain = static_cast<domain_id>(number % fleet_.failure_domains + 1),
+        .incarnation = random_(),
+        .life = ++lives_};
+    balancer_options const options{
+        .document = make_document(*this, facts, true), .key = shared_key};
+    start_process(std::make_unique<balancer_process>(*this, facts, options));
+}
+
+void world::add_agent(backend_id id) {
+    auto const self = agent_endpoint(id);
+    process_facts const facts{.self = self,
+        .domain = domain_of(self),
+        .incarnation = random_(),
+        .life = ++lives_};
+    agent_options options{.document = make_document(*this, facts, false),
+        .key = shared_key,
+        .service = service_of(fleet_, id),
+        .backend = id,
+        .domain = facts.domain};
+    options.document.service = "service-" + std::to_string(options.service);
+    start_process(
+        std::make_unique<agent_process>(*this, facts, options, backend(id)));
+}
+
+void world::start_process(std::unique_ptr<process> it) {
+    auto const at = it->facts().self;
+    auto const life = it->facts().life;
+    auto* const started = it.get();
+    processes_[at] = std::move(it);
+    last_stamp_.erase(at);
+    bool const is_known =
+        std::find(fabric_.begin(), fabric_.end(), at) != fabric_.end();
+    if (started->is_balancer() && !is_known)
+        fabric_.push_back(at);
+    queue.after(duration(random_() % 1000), [this, at, life, started] {
+        auto* const found = find(at);
+        if (found == started && found->facts().life == life) {
+            found->start();
+            tick(at, life);
+        }
+    });
+}
+
+void world::tick(endpoint at, std::uint64_t life) {
+    auto* const it = find(at);
+    if (it == nullptr || it->facts().life != life)
+        return;
+    if (!it->is_paused())
+        it->tick();
+    if (it->is_stopping && it->is_finished()) {
+        note({.what = seen::finished, .process = at});
+        if (auto* const stopped = dynamic_cast<agent_process*>(it))
+            for (auto const id : stopped->backend().running())
+                note({.what = seen::run_cut,
+                    .id = id,
+                    .backend = backend_of(at)});
+        remove(at);
+        return;
+    }
+    queue.after(tick_interval, [this, at, life] { tick(at, life); });
+}
+
+void world::remove(endpoint at) {
+    processes_.erase(at);
+    queue.after(fabric_delay, [this, at] {
+        if (find(at) == nullptr)
+            std::erase(fabric_, at);
+    });
+}
+
+void world::kill(endpoint at) {
+    note({.what = seen::killed, .process = at});
+    remove(at);
+}
+
+void world::stop(endpoint at, duration deadline) {
+    auto* const it = find(at);
+    if (it == nullptr)
+        return;
+    note({.what = seen::stopped, .process = at});
+    it->stop(deadline);
+    if (!filter_.stops_at_once())
+        return;
+    if (auto* const stopped = dynamic_cast<agent_process*>(it))
+        for (auto const id : stopped->backend().running())
+            note({.what = seen::run_cut, .id = id, .backend = backend_of(at)});
+    remove(at);
+}
+
+void world::restart(endpoint at) {
+    if (at.address >= agent_endpoint(0).address)
+        add_agent(backend_of(at));
+    else
+        add_balancer(at.address - balancer_endpoint(0).address);
+}
+
+void world::pause(endpoint at) {
+    note({.what = seen::unreachable, .process = at, .value = 1});
+    if (auto* const it = find(at))
+        it->pause();
+}
+
+void world::resume(endpoint at) {
+    note({.what = seen::reachable, .process = at});
+    if (auto* const it = find(at))
+        it->resume();
+}
+
+void world::set_group(endpoint at, int group) {
+    auto* const it = find(at);
+    if (it == nullptr)
+        return;
+    note({.what = group == 0 ? seen::reachable : seen::unreachable,
+        .process = at});
+    it->group = group;
+}
+
+bool world::can_reach(process const& a, process const& b) const {
+    return a.group == b.group;
+}
+
+duration world::delay(process const& a, process const& b) const {
+    bool const is_near = a.facts().domain == b.facts().domain;
+    return is_near ? within_domain : fleet_.between_domains;
+}
+
+void world::send_datagram(
+    process& from, endpoint to, std::span<std::byte const> data) {
+    auto* const other = find(to);
+    duration const base =
+        other != nullptr ? delay(from, *other) : fleet_.between_domains;
+    for (auto const extra : faults.draw(random_))
+        queue.after(
+            base + extra, [this, from = from.facts().self, to,
+                              copy = std::vector(data.begin(), data.end())] {
+                deliver_datagram(from, to, copy);
+            });
+}
+
+void world::deliver_datagram(
+    endpoint from, endpoint to, std::vector<std::byte> const& data) {
+    auto* const receiver = find(to);
+    auto* const sender = find(from);
+    if (receiver == nullptr)
+        return;
+    if (sender != nullptr && !can_reach(*sender, *receiver))
+        return;
+    receiver->post_datagram([receiver, data] { receiver->receive(data); });
+}
+
+void world::observe_stamp(process& from, stamp const& it) {
+    auto const value = static_cast<std::int64_t>(it.domains_revision);
+    auto& last = last_stamp_.try_emplace(it.sender, -1).first->second;
+    if (last == value)
+        return;
+    last = value;
+    note({.what = seen::stamp_sent,
+        .process = from.facts().self,
+        .incarnation = from.facts().incarnation,
+        .value = value});
+}
+
+void world::observe_forward(process& from, endpoint to, forward const& /*it*/) {
+    auto const domain = domain_of(to);
+    if (domains_out_[domain])
+        note({.what = seen::packet_into,
+            .domain = domain,
+            .process = from.facts().self});
+}
+
+void world::edit_domains() {
+    auto edited =
+        std::get<domains_section>(configuration.latest("domains")->content);
+    for (auto& it : edited.failure_domains)
+        it.is_out = domains_out_[it.id];
+    for (auto const& [at, it] : processes_)
+        it->learn_after(duration(
+            uneven_delay.count() > 0 ? random_() % uneven_delay.count() : 0));
+    auto const held = configuration.publish("domains", std::move(edited));
+    note({.what = seen::edited, .value = static_cast<std::int64_t>(held)});
+}
+
+void world::set_domain(domain_id id, bool is_out) {
+    domains_out_[id] = is_out;
+    note({.what = is_out ? seen::domain_out : seen::domain_in, .domain = id});
+    edit_domains();
+}
+
+void world::drain(backend_id id, bool is_draining) {
+    auto const name = service_name(service_of(fleet_, id));
+    auto edited =
+        std::get<service_section>(configuration.latest(name)->content);
+    for (auto& it : edited.backend_servers)
+        if (it.id == id)
+            it.is_draining = is_draining;
+    if (is_draining)
+        note({.what = seen::leaving, .backend = id});
+    configuration.publish(name, std::move(edited));
+}
+
+void world::set_leaving(backend_id id, bool is_leaving) {
+    auto const domain = domain_of(agent_endpoint(id));
+    hosts_section edited;
+    edited.hosts.push_back(
+        {.name = "backend-" + std::to_string(id), .is_leaving = is_leaving});
+    if (is_leaving)
+        note({.what = seen::leaving, .backend = id});
+    configuration.publish(
+        "hosts/domain-" + std::to_string(domain), std::move(edited));
+}
+
+std::vector<fake_caller*> world::long_callers() {
+    std::vector<fake_caller*> found;
+    for (auto const& [at, it] : callers_)
+        if (it->options().is_long)
+            found.push_back(it.get());
+    return found;
+}
+
+fake_caller& world::add_caller(service_id service, bool is_long) {
+    endpoint const at{0x0a030000 + ++next_caller_, 4000};
+    auto& it = callers_[at];
+    it = std::make_unique<fake_caller>(
+        *this, fake_caller_options{
+                   .service = service, .address = at, .is_long = is_long});
+    it->open();
+    return *it;
+}
+
+fake_caller* world::caller_at(endpoint at) {
+    auto const found = callers_.find(at);
+    return found == callers_.end() ? nullptr : found->second.get();
+}
+
+void world::run_until(instant end) {
+    while (queue.now() < end) {
+        queue.run_until(std::min(queue.now() + tick_interval, end));
+        for (auto const& [at, it] : callers_)
+            it->tick();
+        std::erase_if(callers_,
+            [](auto const& entry) { return entry.second->is_finished(); });
+    }
+}
+
+void world::reached(endpoint caller, milestone what) {
+    if (on_milestone)
+        on_milestone(caller, what);
+}
+
+void world::reached_request(identity id, milestone what) {
+    for (auto const& [at, it] : callers_)
+        if (it->owns(id))
+            reached(at, what);
+}
+
+void world::send_from_caller(
+    service_id service, endpoint caller, caller_packet const& packet) {
+    wire::encoder encoder(shared_key);
+    auto const data = encoder.encode(packet);
+    for (auto const extra : faults.draw(random_))
+        queue.after(fleet_.to_callers + extra,
+            [this, service, caller,
+                copy = std::vector(data.begin(), data.end())] {
+                spray(service, caller, copy);
+            });
+}
+
+void world::spray(
+    service_id service, endpoint caller, std::vector<std::byte> const& data) {
+    if (fabric_.empty())
+        return;
+    auto* const it = find(fabric_[random_() % fabric_.size()]);
+    if (it != nullptr)
+        it->post_datagram([it, service, caller, data] {
+            it->receive_from_caller(service, caller, data);
+        });
+}
+
+void world::send_to_caller(
+    process& /*from*/, endpoint caller, caller_reply const& reply) {
+    wire::encoder encoder(shared_key);
+    auto const data = encoder.encode(reply);
+    for (auto const extra : faults.draw(random_))
+        queue.after(fleet_.to_callers + extra,
+            [this, caller, copy = std::vector(data.begin(), data.end())] {
+                if (auto* const it = caller_at(caller))
+                    it->handle(copy);
+            });
+}
+
+} // namespace radishspread::fakes
--- /dev/null
+++ b/tests/fakes/rs_world.hpp
@@ -0,0 +1,127 @@
+#ifndef RADISHSPREAD_TESTS_FAKES_RS_WORLD_HPP
+#define RADISHSPREAD_TESTS_FAKES_RS_WORLD_HPP
+
+#include <fakes/rs_action_filter.hpp>
+#include <fakes/rs_deployment.hpp>
+#include <fakes/rs_event_queue.hpp>
+#include <fakes/rs_fake_backend.hpp>
+#include <fakes/rs_fake_caller.hpp>
+#include <fakes/rs_fake_configuration.hpp>
+#include <fakes/rs_observation.hpp>
+#include <fakes/rs_packet_faults.hpp>
+#include <fakes/rs_process.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <span>
+#include <vector>
+
+namespace radishspread::fakes {
+
+/// Milestones of one caller's flow and request, as its packets show them.
+enum class milestone : std::uint8_t {
+    opening,
+    passed_on,
+    queued,
+    dispatched,
+    answering,
+    answered,
+    closing,
+};
+
+/// The cores of a fleet, joined by queues of datagrams in virtual time.
+class world {
+public:
+    using milestone_handler = std::function<void(endpoint, milestone)>;
+
+    world(deployment fleet, std::uint64_t seed, action_filter& filter);
+    ~world();
+    world(world const&) = delete;
+    world& operator=(world const&) = delete;
+
+    event_queue queue;
+    observations log;
+    fake_configuration configuration{queue};
+    packet_faults faults;
+    milestone_handler on_milestone;
+    /// Slowest reader's delay in learning of an edit; each reader has its own.
+    duration uneven_delay{0};
+
+    [[nodiscard]] deployment const& fleet() const { return fleet_; }
+    std::mt19937_64& random() { return random_; }
+    action_filter& filter() { return filter_; }
+
+    /// Runs processes and callers up to `end`.
+    void run_until(instant end);
+
+    // Processes.
+    void add_balancer(std::uint32_t number);
+    void add_agent(backend_id id);
+    void kill(endpoint process);
+    void stop(endpoint process, duration deadline);
+    void pause(endpoint process);
+    void resume(endpoint process);
+    void restart(endpoint process);
+    /// Processes of different groups cannot reach each other.
+    void set_group(endpoint process, int group);
+    [[nodiscard]] process* find(endpoint it);
+    [[nodiscard]] std::vector<endpoint> endpoints(bool balancers) const;
+    [[nodiscard]] fake_backend& backend(backend_id id);
+    [[nodiscard]] backend_id backend_of(endpoint agent) const;
+    [[nodiscard]] domain_id domain_of(endpoint agent) const;
+
+    // Callers.
+    fake_caller& add_caller(service_id service, bool is_long);
+    [[nodiscard]] fake_caller* caller_at(endpoint it);
+    [[nodiscard]] std::vector<fake_caller*> long_callers();
+    void send_from_caller(
+        service_id service, endpoint caller, caller_packet const& packet);
+    void send_to_caller(
+        process& from, endpoint caller, caller_reply const& reply);
+    void reached(endpoint caller, milestone what);
+    void reached_request(identity id, milestone what);
+    identity next_identity() { return ++identities_ * 8; }
+
+    // Operators' edits.
+    void set_domain(domain_id id, bool is_out);
+    void drain(backend_id id, bool is_draining);
+    void set_leaving(backend_id id, bool is_leaving);
+    void edit_domains();
+
+    // Used by the processes' sinks.
+    void send_datagram(
+        process& from, endpoint to, std::span<std::byte const> data);
+    void observe_stamp(process& from, stamp const& it);
+    void observe_forward(process& from, endpoint to, forward const& it);
+    [[nodiscard]] bool can_reach(process const& a, process const& b) const;
+    [[nodiscard]] duration delay(process const& a, process const& b) const;
+    void note(observation it);
+
+private:
+    void remove(endpoint process);
+    void start_process(std::unique_ptr<process> it);
+    void deliver_datagram(
+        endpoint from, endpoint to, std::vector<std::byte> const& data);
+    void tick(endpoint it, std::uint64_t life);
+    void spray(service_id service, endpoint caller,
+        std::vector<std::byte> const& data);
+
+    deployment fleet_;
+    std::mt19937_64 random_;
+    action_filter& filter_;
+    std::map<endpoint, std::unique_ptr<process>> processes_;
+    std::map<backend_id, std::unique_ptr<fake_backend>> backends_;
+    std::map<endpoint, std::unique_ptr<fake_caller>> callers_;
+    std::vector<endpoint> fabric_; ///< Balancers that the fabric sprays over.
+    std::map<endpoint, std::int64_t> last_stamp_;
+    std::map<domain_id, bool> domains_out_;
+    std::uint64_t identities_ = 0;
+    std::uint64_t lives_ = 0;
+    std::uint32_t next_caller_ = 0;
+};
+
+} // namespace radishspread::fakes
+
+#endif
--- /dev/null
+++ b/tests/matrix/rs_case.hpp
@@ -0,0 +1,45 @@
+#ifndef RADISHSPREAD_TESTS_MATRIX_RS_CASE_HPP
+#define RADISHSPREAD_TESTS_MATRIX_RS_CASE_HPP
+
+#include <fakes/rs_action_filter.hpp>
+#include <fakes/rs_observation.hpp>
+#include <matrix/rs_checker.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace radishspread::matrix {
+
+/// One cell of the matrix: one or two faults at a step, in a deployment.
+struct case_id {
+    bool is_nashama = false;
+    std::uint8_t first = 0;             ///< Index in `all_faults()`.
+    std::optional<std::uint8_t> second; ///< Strikes 400 ms after the first.
+    std::uint8_t step = 0;              ///< Index in `all_steps()`.
+    std::uint32_t seed = 1;
+};
+
+/// "balkonbloei/agent_killed/queued/1" or with "first+second".
+[[nodiscard]] std::string to_string(case_id const& it);
+[[nodiscard]] std::optional<case_id> parse_case(std::string_view text);
+
+struct case_result {
+    std::vector<violation> violations;
+    fakes::observations log;
+    bool reached_step = false;
+    std::uint64_t digest = 0;
+};
+
+[[nodiscard]] case_result run_case(
+    case_id const& id, fakes::action_filter& filter);
+
+/// Singles, twice the same fault, and pairs: each fault with each other at
+/// each step, the deployments in turn.
+[[nodiscard]] std::vector<case_id> all_cases();
+
+} // namespace radishspread::matrix
+
+#endif
--- /dev/null
+++ b/tests/matrix/rs_checker.cpp
@@ -0,0 +1,265 @@
+#include <matrix/rs_checker.hpp>
+#include <matrix/rs_timeline.hpp>
+
+#include <algorithm>
+
+namespace radishspread::matrix {
+
+using fakes::deployment;
+using fakes::identity;
+using fakes::observation;
+using fakes::observations;
+using fakes::seen;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Limits of the stated targets.
+constexpr duration out_limit = 3s;          // P4, service healthy
+constexpr duration impaired_out_limit = 5s; // P4, service stale or down
+constexpr duration leaving_limit = 5s;      // P8, "a few seconds"
+constexpr duration edit_limit = 10s;        // P10
+// A process that was paused gets this long to prove its view; longer than a
+// round trip to the configuration service and a peer, far below a second.
+constexpr duration proof_limit = 500ms;
+// A cold state without notice shows only once slow answers have come back.
+constexpr duration cold_limit = 3s;
+
+struct request_facts {
+    std::uint32_t flow = 0;
+    service_id service = 0;
+    bool idempotent = false;
+    bool is_last_check = false;
+    bool was_run = false;
+    bool is_answered = false;
+};
+
+class checker {
+public:
+    checker(observations const& log, deployment const& fleet)
+        : log_(log), fleet_(fleet), facts_(log) {
+        for (auto const& it : log)
+            collect(it);
+    }
+
+    std::vector<violation> run() {
+        check_flows();
+        check_requests();
+        check_capacity();
+        check_domains();
+        check_leaving();
+        check_stops();
+        check_edits();
+        return std::move(found_);
+    }
+
+private:
+    void fail(int promise, std::string_view what, observation const& it) {
+        found_.push_back(
+            {promise, std::string(what) + ": " + fakes::to_string(it)});
+    }
+
+    void collect(observation const& it) {
+        if (it.what == seen::request_started) {
+            auto& made = requests_[it.id];
+            made = {it.flow, it.service, it.flag, it.value == 1};
+            if (it.value == 1)
+                last_checks_[it.id / 8] = it;
+        }
+        if (it.what == seen::run_started)
+            requests_[it.id].was_run = true;
+        if (it.what == seen::request_ended &&
+            it.result == request_result::answered)
+            answered_.insert(it.id / 8);
+        if (it.what == seen::flow_established)
+            agents_of_[it.flow].push_back(it);
+        if (it.what == seen::flow_closed || it.what == seen::flow_lost)
+            ended_flows_.insert(it.flow);
+    }
+
+    /// True if something that the operators or a crash did explains why the
+    /// flow ended.
+    [[nodiscard]] bool is_explained(observation const& lost) const {
+        auto const agents = agents_of_.find(lost.flow);
+        if (agents == agents_of_.end())
+            return true;
+        for (auto const& it : agents->second) {
+            auto const deaths = facts_.killed.find(it.process);
+            if (deaths != facts_.killed.end())
+                for (auto const at : deaths->second)
+                    if (at >= it.at - 3s && at <= lost.at)
+                        return true;
+            auto const outs = facts_.out.find(domain_of(it.process));
+            if (outs != facts_.out.end())
+                for (auto const& span : outs->second)
+                    if (span.overlaps(it.at, lost.at))
+                        return true;
+        }
+        return false;
+    }
+
+    [[nodiscard]] domain_id domain_of(endpoint agent) const {
+        auto const id = agent.address - fakes::agent_endpoint(0).address;
+        backend_id first = 1;
+        for (auto const n : fleet_.backends_per_service) {
+            if (id < first + n)
+                return static_cast<domain_id>(
+                    (id - first) % fleet_.failure_domains + 1);
+            first += n;
+        }
+        return 0;
+    }
+
+    void check_flows() { // P1
+        for (auto const& it : log_)
+            if (it.what == seen::flow_lost && it.flag && !is_explained(it))
+                fail(1, "flow lost", it);
+        for (auto const& [id, it] : last_checks_)
+            if (!answered_.contains(id) && !ended_flows_.contains(it.flow))
+                fail(1, "flow no longer answers", it);
+    }
+
+    void check_requests() { // P2, P5, P6, P7
+        std::map<identity, int> runs;
+        for (auto const& it : log_) {
+            if (it.what == seen::run_started) {
+                auto const& request = requests_[it.id];
+                if (request.service != it.service)
+                    fail(2, "run at another service", it);
+                if (!request.idempotent && ++runs[it.id / 8] > 1)
+                    fail(7, "run twice", it);
+            }
+            bool const is_wrong = it.what == seen::request_ended && !it.flag;
+            if (is_wrong)
+                fail(5, "not the whole own answer", it);
+            bool const is_refusal = it.what == seen::not_run_replied ||
+                                    (it.what == seen::request_ended &&
+                                        it.result == request_result::not_run);
+            if (is_refusal && requests_[it.id].was_run)
+                fail(6, "\"not run\" but it ran", it);
+        }
+    }
+
+    void check_capacity() { // P3
+        for (auto const& it : log_) {
+            if (it.what != seen::over_capacity)
+                continue;
+            auto const colds = facts_.cold.find(it.backend);
+            bool const is_allowed =
+                colds != facts_.cold.end() &&
+                std::any_of(colds->second.begin(), colds->second.end(),
+                    [&](instant at) {
+                        return at <= it.at && it.at <= at + cold_limit;
+                    });
+            if (!is_allowed)
+                fail(3, "more than it can handle", it);
+        }
+    }
+
+    void check_domains() { // P4
+        for (auto const& it : log_) {
+            bool const is_packet =
+                it.what == seen::packet_into || it.what == seen::run_started;
+            if (!is_packet)
+                continue;
+            for (auto const& span : facts_.out[it.domain])
+                if (span.contains(it.at) && it.at > allowed_until(span, it))
+                    fail(4, "packet into a failure domain that is out", it);
+        }
+    }
+
+    [[nodiscard]] instant allowed_until(
+        interval const& out, observation const& it) const {
+        auto const process = it.what == seen::run_started
+                                 ? fakes::agent_endpoint(it.backend)
+                                 : it.process;
+        auto const informed = facts_.informed_from(out.begin, process);
+        if (!informed)
+            return it.at;
+        bool const was_impaired = std::any_of(facts_.impaired.begin(),
+            facts_.impaired.end(),
+            [&](auto const& span) { return span.overlaps(out.begin, it.at); });
+        auto const cut = facts_.cut_off.find(process);
+        bool const was_cut_off = cut != facts_.cut_off.end() &&
+                                 std::any_of(cut->second.begin(),
+                                     cut->second.end(), [&](auto const& span) {
+                                         return span.overlaps(out.begin, it.at);
+                                     });
+        if (was_impaired || was_cut_off)
+            return *informed + impaired_out_limit;
+        return std::max(out.begin + out_limit, *informed + proof_limit);
+    }
+
+    void check_leaving() { // P8
+        for (auto const& it : log_) {
+            if (it.what != seen::new_flow_at)
+                continue;
+            auto const left = facts_.leaving.find(it.backend);
+            if (left == facts_.leaving.end())
+                continue;
+            auto const informed =
+                facts_.informed_from(left->second, it.process);
+            if (informed && it.at > *informed + leaving_limit)
+                fail(8, "new flow at a leaving backend server", it);
+        }
+    }
+
+    void check_stops() { // P9
+        for (auto const& it : log_) {
+            if (it.what == seen::run_cut)
+                fail(9, "run cut by a planned stop", it);
+            bool const is_unknown = it.what == seen::request_ended &&
+                                    it.result == request_result::unknown;
+            if (is_unknown && !facts_.has_unplanned_fault &&
+                facts_.out.empty() && !ended_flows_.contains(it.flow))
+                fail(9, "request cut by a planned change", it);
+        }
+    }
+
+    void check_edits() { // P10
+        std::map<endpoint, observation> last;
+        std::vector<observation> edits;
+        for (auto const& it : log_) {
+            if (it.what == seen::edited)
+                edits.push_back(it);
+            if (it.what == seen::killed || it.what == seen::finished)
+                last.erase(it.process);
+            if (it.what != seen::stamp_sent)
+                continue;
+            auto const known = last.find(it.process);
+            bool const is_older = known != last.end() &&
+                                  known->second.incarnation == it.incarnation &&
+                                  known->second.value > it.value;
+            if (is_older)
+                fail(10, "an older revision came back into effect", it);
+            last[it.process] = it;
+        }
+        auto const end = log_.empty() ? instant{} : log_.back().at;
+        for (auto const& edit : edits)
+            for (auto const& [process, it] : last) {
+                auto const informed = facts_.informed_from(edit.at, process);
+                if (informed && *informed + edit_limit < end &&
+                    it.value < edit.value)
+                    fail(10, "edit not in effect", it);
+            }
+    }
+
+    observations const& log_;
+    deployment const& fleet_;
+    timeline facts_;
+    std::vector<violation> found_;
+    std::map<identity, request_facts> requests_;
+    std::map<identity, observation> last_checks_;
+    std::set<identity> answered_;
+    std::map<std::uint32_t, std::vector<observation>> agents_of_;
+    std::set<std::uint32_t> ended_flows_;
+};
+
+} // namespace
+
+std::vector<violation> check_promises(
+    observations const& log, deployment const& fleet) {
+    return checker(log, fleet).run();
+}
+
+} // namespace radishspread::matrix
--- /dev/null
+++ b/tests/matrix/rs_mutations.cpp
@@ -0,0 +1,130 @@
+#include <matrix/rs_mutations.hpp>
+
+#include <fakes/rs_payload.hpp>
+
+#include <array>
+
+namespace radishspread::matrix {
+
+using fakes::action_filter;
+
+namespace {
+
+/// Established packets are routed by a hash instead of the cookie.
+struct routes_by_hash : action_filter {
+    void balancer_forward(endpoint& to, forward& it) override {
+        bool const is_first = it.packet.service == 1;
+        backend_id const first = is_first ? 1 : 8;
+        backend_id const n = is_first ? 7 : 3;
+        if (it.packet.kind == packet_kind::request)
+            to = fakes::agent_endpoint(
+                first + static_cast<backend_id>(it.packet.request % n));
+    }
+};
+
+/// Every third dispatch of the first service goes to the second's server.
+struct dispatches_elsewhere : action_filter {
+    backend_id dispatches_to(backend_id own) override {
+        return own <= 7 && ++count % 3 == 0 ? 8 : own;
+    }
+    int count = 0;
+};
+
+/// Agents believe in eight times the slots of the document.
+struct inflates_slots : action_filter {
+    section_ptr learns(section_ptr it) override {
+        auto const* const known = std::get_if<service_section>(&it->content);
+        if (known == nullptr)
+            return it;
+        auto changed = *it;
+        auto& content = std::get<service_section>(changed.content);
+        for (auto& entry : content.backend_servers)
+            entry.slots *= 16;
+        return std::make_shared<section const>(std::move(changed));
+    }
+};
+
+/// Nobody learns that a failure domain is out.
+struct ignores_domains_out : action_filter {
+    section_ptr learns(section_ptr it) override {
+        if (!std::holds_alternative<domains_section>(it->content))
+            return it;
+        auto changed = *it;
+        auto& content = std::get<domains_section>(changed.content);
+        for (auto& entry : content.failure_domains)
+            entry.is_out = false;
+        return std::make_shared<section const>(std::move(changed));
+    }
+};
+
+/// Replies carry the number of the flow's previous request.
+struct crosses_answers : action_filter {
+    void agent_replies(caller_reply& it) override {
+        if (it.kind == reply_kind::answer && it.request > 1)
+            --it.request;
+    }
+};
+
+/// Says "not run" of a request whose connection was lost.
+struct claims_not_run : action_filter {
+    void agent_replies(caller_reply& it) override {
+        if (it.outcome == outcome::unknown)
+            it.outcome = outcome::not_run;
+    }
+};
+
+/// Treats every request as idempotent, so that lost ones are retried.
+struct retries_everything : action_filter {
+    void agent_receives(forward& it) override { it.packet.idempotent = true; }
+};
+
+/// Nobody learns that a backend server is draining or its host leaving.
+struct ignores_leaving : action_filter {
+    section_ptr learns(section_ptr it) override {
+        auto changed = *it;
+        if (auto* const known = std::get_if<service_section>(&changed.content))
+            for (auto& entry : known->backend_servers)
+                entry.is_draining = false;
+        if (auto* const known = std::get_if<hosts_section>(&changed.content))
+            known->hosts.clear();
+        return std::make_shared<section const>(std::move(changed));
+    }
+};
+
+/// A planned stop ends the process at once.
+struct skips_shutdown : action_filter {
+    bool stops_at_once() override { return true; }
+};
+
+/// The first revision of a section is kept for ever.
+struct keeps_first_revision : action_filter {
+    section_ptr learns(section_ptr it) override {
+        bool const is_first = it->held <= 6;
+        return is_first ? it : nullptr;
+    }
+};
+
+template <class Mutation> std::unique_ptr<action_filter> make() {
+    return std::make_unique<Mutation>();
+}
+
+constexpr std::array<mutation, 10> mutations{{
+    {1, "established packets routed by hash", make<routes_by_hash>},
+    {2, "dispatch to another service", make<dispatches_elsewhere>},
+    {3, "slots believed sixteenfold", make<inflates_slots>},
+    {4, "failure domains out ignored", make<ignores_domains_out>},
+    {5, "answers crossed", make<crosses_answers>},
+    {6, "unknown reported as not run", make<claims_not_run>},
+    {7, "non-idempotent requests retried", make<retries_everything>},
+    {8, "leaving backend servers ignored", make<ignores_leaving>},
+    {9, "planned stop without shutdown", make<skips_shutdown>},
+    {10, "edits not taken", make<keeps_first_revision>},
+}};
+
+} // namespace
+
+std::span<mutation const> all_mutations() {
+    return mutations;
+}
+
+} // namespace radishspread::matrix
--- /dev/null
+++ b/tests/matrix/rs_timeline.cpp
@@ -0,0 +1,90 @@
+#include <matrix/rs_timeline.hpp>
+
+namespace radishspread::matrix {
+
+using fakes::observation;
+using fakes::seen;
+
+namespace {
+
+void end_last(std::vector<interval>& intervals, instant at) {
+    if (!intervals.empty() && !intervals.back().end)
+        intervals.back().end = at;
+}
+
+} // namespace
+
+timeline::timeline(fakes::observations const& log) {
+    for (auto const& it : log)
+        add(it);
+}
+
+void timeline::add(observation const& it) {
+    switch (it.what) {
+    case seen::domain_out:
+        end_last(out[it.domain], it.at);
+        out[it.domain].push_back({it.at, {}});
+        break;
+    case seen::domain_in:
+        end_last(out[it.domain], it.at);
+        break;
+    case seen::unreachable:
+        (it.value == 1 ? paused : cut_off)[it.process].push_back({it.at, {}});
+        has_unplanned_fault = true;
+        break;
+    case seen::reachable:
+        end_last(paused[it.process], it.at);
+        end_last(cut_off[it.process], it.at);
+        break;
+    case seen::killed:
+        killed[it.process].push_back(it.at);
+        has_unplanned_fault = true;
+        break;
+    case seen::service_impaired:
+        impaired.push_back({it.at, {}});
+        break;
+    case seen::service_healthy:
+        end_last(impaired, it.at);
+        break;
+    case seen::backend_fault:
+        if (it.value == 1)
+            cold[it.backend].push_back(it.at);
+        has_unplanned_fault = true;
+        break;
+    case seen::packet_fault:
+        has_unplanned_fault = true;
+        break;
+    case seen::leaving:
+        leaving.try_emplace(it.backend, it.at);
+        break;
+    default:
+        break;
+    }
+}
+
+std::optional<instant> timeline::informed_from(
+    instant from, endpoint process) const {
+    auto now = from;
+    for (bool is_moved = true; is_moved;) {
+        is_moved = false;
+        auto skip = [&](std::vector<interval> const& all) {
+            for (auto const& it : all) {
+                if (!it.contains(now))
+                    continue;
+                if (!it.end)
+                    return false;
+                now = *it.end;
+                is_moved = true;
+            }
+            return true;
+        };
+        auto const own = cut_off.find(process);
+        auto const sleep = paused.find(process);
+        if (!skip(impaired) || (own != cut_off.end() && !skip(own->second)) ||
+            (sleep != paused.end() && !skip(sleep->second)))
+            return std::nullopt;
+    }
+    return now;
+}
+
+} // namespace radishspread::matrix
