--- a/packages/core/include/radishspread/core/internal/rs_agent_flow_table.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_agent_flow_table.hpp
@@ -20,6 +20,10 @@
     /// Reservation of the flow `key`, or null.
     [[nodiscard]] flow_entry* find_reservation(flow_key const& key);
 
+    /// Flow that has moved on to the agent that made `cookie`, or null.
+    [[nodiscard]] flow_entry* find_moved(
+        flow_key const& key, route_cookie const& cookie);
+
     /// The caller has echoed the cookie of a reservation.
     void establish(flow_entry& it);
     void set_moved(flow_entry& it);
@@ -37,8 +41,12 @@
     [[nodiscard]] auto end() { return rows_.end(); }
 
 private:
+    void forget_moved(flow_entry const& it);
+
     std::unordered_map<open_id, flow_entry> rows_;
     std::unordered_map<flow_key, open_id, flow_key_hash> reservations_;
+    /// Newest moved flow of each key.
+    std::unordered_map<flow_key, open_id, flow_key_hash> moved_by_key_;
     std::size_t moved_ = 0;
     open_id last_opening_ = 0;
 };
--- a/packages/core/include/radishspread/core/internal/rs_agent_handover.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_agent_handover.hpp
@@ -37,7 +37,7 @@
 
 /// The receiver's side of a handover.
 struct handover_in {
-    route_cookie previous; ///< Cookie of the flow at the agent that gave it.
+    endpoint giver;            ///< Agent that held the flow before.
     bool is_confirmed = false; ///< The caller has used the new cookie.
     duration moved_interval{0};
     instant next_moved;
--- a/packages/core/include/radishspread/core/internal/rs_agent_handover_in_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_agent_handover_in_impl.hpp
@@ -21,18 +21,6 @@
             .target = message.target});
 }
 
-/// Cookie of the flow at the agent that gives it. The failure domain of that
-/// agent is not in the message; no agent checks it.
-inline route_cookie giver_cookie(
-    agent_state const& state, handover const& message) {
-    return state.seal({.domain = state.options.domain,
-                          .service = message.flow.service,
-                          .agent = message.origin.sender,
-                          .incarnation = message.origin.incarnation,
-                          .opening = message.opening},
-        message.flow);
-}
-
 template <class Sink>
 handover_decision take_flow(agent_call<Sink> call, handover const& message) {
     auto& state = call.state;
@@ -40,8 +28,7 @@
         state.flows.add(message.flow, flow_state::established, call.now);
     flow.reply_to = message.reply_to;
     flow.window = message.window;
-    flow.in = {.previous = giver_cookie(state, message),
-        .moved_interval = moved_minimum};
+    flow.in = {.giver = message.origin.sender, .moved_interval = moved_minimum};
     log(call, {.number = agent_event::flow_taken,
                   .step = step::hand_over,
                   .peer = message.origin.sender,
--- a/packages/core/include/radishspread/core/internal/rs_agent_handover_out_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_agent_handover_out_impl.hpp
@@ -181,7 +181,7 @@
         message.packet.kind = packet_kind::close;
         message.packet.service = flow.key.service;
         message.packet.flow = flow.key.flow;
-        forward_packet(call, message, cookie);
+        forward_packet(call, cookie.agent, message, cookie);
     }
     auto const bound = std::max<std::size_t>(1, state.max_flows);
     while (state.flows.moved() > bound)
--- a/packages/core/include/radishspread/core/internal/rs_agent_moved_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_agent_moved_impl.hpp
@@ -16,16 +16,16 @@
 /// Time for which a leaving agent lets a busy flow take new requests.
 inline constexpr duration freeze_delay = std::chrono::seconds(2);
 
-/// Sends a packet on with the cookie that the receiving agent knows.
+/// Sends a packet on with a cookie that the receiving agent knows.
 template <class Sink>
-void forward_packet(
-    agent_call<Sink> call, forward message, route_cookie const& cookie) {
+void forward_packet(agent_call<Sink> call, endpoint to, forward message,
+    route_cookie const& cookie) {
     if (message.passes >= max_moved_passes)
         return;
     message.origin = call.state.view.make_stamp(message.packet.service);
     ++message.passes;
     message.packet.cookie = cookie;
-    call.sink.send_forward(cookie.agent, message);
+    call.sink.send_forward(to, message);
 }
 
 /// Forwards a repeated request to the agent that held the flow when the
@@ -33,7 +33,7 @@
 template <class Sink>
 void ask_giver(
     agent_call<Sink> call, flow_entry const& flow, forward const& message) {
-    forward_packet(call, message, flow.in->previous);
+    forward_packet(call, flow.in->giver, message, call.state.make_cookie(flow));
 }
 
 template <class Sink> void send_moved(agent_call<Sink> call, flow_entry& flow) {
@@ -78,7 +78,7 @@
     if (call.state.view.is_out(cookie.domain))
         return send_reset(call, message, reason::domain_out);
     call.state.linger_until = call.now + moved_linger;
-    forward_packet(call, message, cookie);
+    forward_packet(call, cookie.agent, message, cookie);
 }
 
 } // namespace radishspread::agent_internal
--- a/packages/core/include/radishspread/core/internal/rs_agent_packet_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_agent_packet_impl.hpp
@@ -16,6 +16,39 @@
                   .reason = reason::invalid_cookie});
 }
 
+/// Request of a flow that has moved on, sent back by its new agent, because
+/// the request was taken here.
+template <class Sink>
+void on_returned_request(agent_call<Sink> call, forward const& message) {
+    auto const& packet = message.packet;
+    auto const key = key_of(message);
+    auto* const flow = call.state.flows.find_moved(key, *packet.cookie);
+    if (flow != nullptr) {
+        flow->reply_to = message.reply_to;
+        return on_repeat(call, *flow, message);
+    }
+    // The answer was lost with the flow; it is not the flow itself that ends.
+    send_reply(call, message.reply_to, message.caller,
+        caller_reply{.kind = reply_kind::refused,
+            .service = packet.service,
+            .flow = packet.flow,
+            .request = packet.request,
+            .outcome = outcome::unknown,
+            .reason = reason::answer_dropped,
+            .trace = packet.trace});
+}
+
+/// Packet whose cookie names another agent.
+template <class Sink>
+void on_other_agent(agent_call<Sink> call, forward const& message) {
+    bool const is_returned =
+        message.passes > 0 && message.packet.kind == packet_kind::request;
+    if (is_returned)
+        on_returned_request(call, message);
+    else
+        log_invalid(call, message);
+}
+
 /// The flow that a packet's cookie names, or null after a reset or a drop.
 template <class Sink>
 flow_entry* find_flow(agent_call<Sink> call, forward const& message) {
@@ -33,7 +66,7 @@
         key.service != state.options.service)
         why = reason::invalid_cookie;
     else if (cookie->agent != state.options.document.self) {
-        log_invalid(call, message);
+        on_other_agent(call, message);
         return nullptr;
     } else if (cookie->incarnation != state.options.document.incarnation)
         why = reason::stale_incarnation;
--- a/packages/core/include/radishspread/core/internal/rs_agent_reply_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_agent_reply_impl.hpp
@@ -45,11 +45,13 @@
 
 /// Says that the flow of a packet is gone. The outcome of a request that it
 /// names is unknown, since a copy of the packet may have run before. The
-/// packet's cookie lets the caller tell a late reset from a current one.
+/// packet's cookie lets the caller tell a late reset from a current one; a
+/// packet from another agent has a cookie that the caller may not know.
 template <class Sink>
 void send_reset(agent_call<Sink> call, forward const& message, reason why) {
     auto const& packet = message.packet;
     auto const result = packet.request == 0 ? outcome::none : outcome::unknown;
+    bool const is_direct = message.passes == 0;
     log(call, {.number = agent_event::flow_reset,
                   .step = step::receive,
                   .peer = message.origin.sender,
@@ -60,7 +62,7 @@
         caller_reply{.kind = reply_kind::reset,
             .service = packet.service,
             .flow = packet.flow,
-            .cookie = packet.cookie,
+            .cookie = is_direct ? packet.cookie : std::nullopt,
             .request = packet.request,
             .outcome = result,
             .reason = why,
--- a/packages/core/include/radishspread/core/internal/rs_agent_request_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_agent_request_impl.hpp
@@ -36,13 +36,14 @@
 /// Why a request cannot be admitted, or `none`.
 inline reason request_obstacle(
     agent_state const& state, caller_packet const& packet) {
-    if (packet.deadline <= std::chrono::milliseconds{0})
+    auto const deadline = std::min(packet.deadline, max_deadline);
+    if (deadline <= std::chrono::milliseconds{0})
         return reason::deadline_exceeded;
     bool const is_slot_free =
         state.queue.empty() && state.dispatches.size() < state.bound.bound();
     if (!is_slot_free && state.queue.size() >= state.max_queued())
         return reason::overloaded;
-    if (!is_slot_free && state.expected_wait() > packet.deadline)
+    if (!is_slot_free && state.expected_wait() > deadline)
         return reason::deadline_exceeded;
     return reason::none;
 }
--- a/packages/core/include/radishspread/core/internal/rs_agent_tick_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_agent_tick_impl.hpp
@@ -61,8 +61,10 @@
         it.last_byte = call.now;
         it.is_pinged = false;
     }
-    for (auto& [opening, flow] : state.flows)
-        flow.out.step_since = call.now;
+    for (auto& [opening, flow] : state.flows) {
+        if (flow.out.is_committed())
+            flow.out.step_since = call.now;
+    }
     return true;
 }
 
--- a/packages/core/src/rs_agent_flow_table.cpp
+++ b/packages/core/src/rs_agent_flow_table.cpp
@@ -25,6 +25,21 @@
     return it == reservations_.end() ? nullptr : find(it->second);
 }
 
+flow_entry* flow_table::find_moved(
+    flow_key const& key, route_cookie const& cookie) {
+    auto const it = moved_by_key_.find(key);
+    auto* const flow = it == moved_by_key_.end() ? nullptr : find(it->second);
+    bool const is_same = flow != nullptr && flow->out.moved_to == cookie;
+    return is_same ? flow : nullptr;
+}
+
+void flow_table::forget_moved(flow_entry const& it) {
+    --moved_;
+    auto const newest = moved_by_key_.find(it.key);
+    if (newest != moved_by_key_.end() && newest->second == it.opening)
+        moved_by_key_.erase(newest);
+}
+
 void flow_table::establish(flow_entry& it) {
     if (it.state != flow_state::reserved)
         return;
@@ -35,6 +50,7 @@
 void flow_table::set_moved(flow_entry& it) {
     it.state = flow_state::moved;
     ++moved_;
+    moved_by_key_[it.key] = it.opening;
 }
 
 void flow_table::erase(open_id opening) {
@@ -44,7 +60,7 @@
     if (it->second.state == flow_state::reserved)
         reservations_.erase(it->second.key);
     if (it->second.state == flow_state::moved)
-        --moved_;
+        forget_moved(it->second);
     rows_.erase(it);
 }
 
--- a/packages/core/tests/rs_agent_fixture.hpp
+++ b/packages/core/tests/rs_agent_fixture.hpp
@@ -3,7 +3,7 @@
 
 #include <radishspread/core/rs_agent.hpp>
 
-#include <deque>
+#include <array>
 #include <string>
 #include <vector>
 
@@ -15,6 +15,13 @@
     Message message;
 };
 
+/// A dispatch; the payload of a request names its flow.
+struct recorded_dispatch {
+    dispatch_id id = 0;
+    request_id request = 0;
+    flow_id flow = 0;
+};
+
 /// Records the actions of an agent; payloads are not kept.
 struct agent_recorder {
     std::vector<sent<forward>> forwards;
@@ -24,7 +31,7 @@
     std::vector<std::uint64_t> connects;
     std::vector<std::uint64_t> pings;
     std::vector<std::uint64_t> disconnects;
-    std::vector<backend_request> dispatches;
+    std::vector<recorded_dispatch> dispatches;
     std::vector<dispatch_id> cancels;
 
     void read_section(std::string_view) {}
@@ -51,7 +58,9 @@
     void ping(std::uint64_t id) { pings.push_back(id); }
     void disconnect(std::uint64_t id) { disconnects.push_back(id); }
     void dispatch(std::uint64_t, backend_request const& it) {
-        dispatches.push_back(it);
+        dispatches.push_back({.id = it.id,
+            .request = it.request,
+            .flow = std::to_integer<flow_id>(it.payload[0])});
     }
     void cancel(std::uint64_t, dispatch_id id) { cancels.push_back(id); }
 };
@@ -69,12 +78,13 @@
 class agent_driver {
 public:
     agent_recorder out;
-    instant now{std::chrono::seconds(100)};
+    instant now;
     service_section entries{.name = "orders", .id = service, .port = 80};
     bool is_domain_out = false;
 
-    explicit agent_driver(backend_id id, incarnation_id incarnation = 0)
-        : id_(id), core_(options(id, incarnation)) {
+    explicit agent_driver(backend_id id, incarnation_id incarnation = 0,
+        instant start = instant(std::chrono::seconds(100)))
+        : now(start), id_(id), core_(options(id, incarnation)) {
         for (backend_id n = 1; n <= 3; ++n)
             entries.backend_servers.push_back({.name = "b" + std::to_string(n),
                 .id = n,
@@ -156,12 +166,20 @@
 
     static forward make_request(route_cookie const& cookie, flow_id flow,
         request_id id, bool idempotent = false) {
+        // One byte for each number, so that a payload outlives its packet.
+        static auto const numbers = [] {
+            std::array<std::byte, 256> all{};
+            for (std::size_t i = 0; i < all.size(); ++i)
+                all[i] = static_cast<std::byte>(i);
+            return all;
+        }();
         return make_forward({.kind = packet_kind::request,
             .flow = flow,
             .cookie = cookie,
             .request = id,
             .idempotent = idempotent,
-            .deadline = std::chrono::seconds(5)});
+            .deadline = std::chrono::seconds(5),
+            .payload = std::span(&numbers.at(flow), 1)});
     }
 
     void request(route_cookie const& cookie, flow_id flow, request_id id,
