Flows survive the return of a failure domain and long opening delays

Two causes in the product: (1) a process that had not yet learned of a failure domain's return reset flows that had just been opened there; (2) a reservation expired after 3 s, while a caller whose packets a partition or pause held back was still sending its first request. Change: the cookie carries the revision of domains; a process with an older one drops and pulls instead of resetting. Reservations last 10 s and count as load for 1 s.

--- a/packages/core/include/radishspread/core/internal/rs_agent_flow.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_agent_flow.hpp
@@ -23,6 +23,8 @@
     flow_key key;
     open_id opening = 0;
     flow_state state = flow_state::reserved;
+    bool is_pending = false; ///< Reserved so recently that it counts as load.
+    revision domains_revision = 0; ///< In the flow's cookie.
     endpoint reply_to; ///< Balancer that delivered the newest packet.
     instant last_packet;
     request_window window;
--- a/packages/core/include/radishspread/core/internal/rs_agent_flow_table.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_agent_flow_table.hpp
@@ -26,6 +26,8 @@
 
     /// The caller has echoed the cookie of a reservation.
     void establish(flow_entry& it);
+    /// The reservation is too old to expect its first request soon.
+    void end_pending(flow_entry& it);
     void set_moved(flow_entry& it);
     void erase(open_id opening);
 
@@ -35,7 +37,8 @@
     /// Flows whose window this agent owns.
     [[nodiscard]] std::size_t owned() const { return rows_.size() - moved_; }
     [[nodiscard]] std::size_t moved() const { return moved_; }
-    [[nodiscard]] std::size_t reserved() const { return reservations_.size(); }
+    /// Reservations whose first request is expected soon.
+    [[nodiscard]] std::size_t pending() const { return pending_; }
 
     [[nodiscard]] auto begin() { return rows_.begin(); }
     [[nodiscard]] auto end() { return rows_.end(); }
@@ -48,6 +51,7 @@
     /// Newest moved flow of each key.
     std::unordered_map<flow_key, open_id, flow_key_hash> moved_by_key_;
     std::size_t moved_ = 0;
+    std::size_t pending_ = 0;
     open_id last_opening_ = 0;
 };
 
--- a/packages/core/include/radishspread/core/internal/rs_agent_handover_in_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_agent_handover_in_impl.hpp
@@ -26,6 +26,7 @@
     auto& state = call.state;
     auto& flow =
         state.flows.add(message.flow, flow_state::established, call.now);
+    flow.domains_revision = state.view.held(internal::domains_name);
     flow.reply_to = message.reply_to;
     flow.window = message.window;
     flow.in = {.giver = message.origin.sender, .moved_interval = moved_minimum};
--- a/packages/core/include/radishspread/core/internal/rs_agent_open_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_agent_open_impl.hpp
@@ -31,6 +31,7 @@
 void accept_opening(agent_call<Sink> call, forward const& message) {
     auto& flow =
         call.state.flows.add(key_of(message), flow_state::reserved, call.now);
+    flow.domains_revision = call.state.view.held(internal::domains_name);
     flow.reply_to = message.reply_to;
     send_opened(call, flow, message.packet.trace);
 }
--- a/packages/core/include/radishspread/core/internal/rs_agent_packet_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_agent_packet_impl.hpp
@@ -117,6 +117,12 @@
     auto* const flow = find_flow(call, message);
     if (flow == nullptr)
         return;
+    auto const held = state.view.held(internal::domains_name);
+    bool const is_behind = message.origin.domains_revision > held;
+    // A newer revision, which is being pulled, may have the failure domain in
+    // again. The caller retransmits.
+    if (state.is_out() && is_behind)
+        return;
     if (state.is_out()) {
         send_reset(call, message, reason::domain_out);
         return drop_flow(call, flow->opening, false);
--- a/packages/core/include/radishspread/core/internal/rs_agent_tick_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_agent_tick_impl.hpp
@@ -68,6 +68,10 @@
     return true;
 }
 
+/// A caller sends its first request within a round trip. A reservation that is
+/// older was lost or duplicated, and must not count as load until it expires.
+inline constexpr duration pending_time = std::chrono::seconds(1);
+
 /// Time after which a flow without packets is forgotten.
 inline duration idle_time(agent_state const& state, flow_entry const& flow) {
     switch (flow.state) {
@@ -84,7 +88,9 @@
 template <class Sink> void expire_flows(agent_call<Sink> call) {
     auto& state = call.state;
     std::vector<open_id> expired;
-    for (auto const& [opening, flow] : state.flows) {
+    for (auto& [opening, flow] : state.flows) {
+        if (flow.is_pending && call.now >= flow.last_packet + pending_time)
+            state.flows.end_pending(flow);
         bool const is_idle =
             call.now >= flow.last_packet + idle_time(state, flow);
         if (is_idle && flow.is_quiet() && !flow.out.is_committed())
--- a/packages/core/include/radishspread/core/internal/rs_balancer_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_balancer_impl.hpp
@@ -90,7 +90,14 @@
     }
     if (document_.is_out(cookie.domain)) {
         drop(balancer_event::domain_out);
-        reset(now, event, sink);
+        // The flow began after a later edit than this balancer knows, which
+        // may have taken the failure domain back in.
+        auto const held = document_.held(internal::domains_name);
+        if (cookie.domains_revision > held)
+            document_.pull(now, internal::domains_name, cookie.domains_revision,
+                cookie.agent, sink);
+        else
+            reset(now, event, sink);
         return;
     }
     send_forward(now, cookie.agent, {}, event.caller, packet, sink);
--- a/packages/core/include/radishspread/core/internal/rs_document_peers_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_document_peers_impl.hpp
@@ -153,6 +153,13 @@
     sink.pull_index(peer);
 }
 
+template <document_sink Sink>
+void document::pull(instant now, std::string_view name, revision newer,
+    endpoint peer, Sink& sink) {
+    want(now, {name, newer}, peer, duration{0}, sink);
+    run_reads(now, sink);
+}
+
 template <document_sink Sink>
 void document::observe(
     instant now, service_id service, stamp const& seen, Sink& sink) {
--- a/packages/core/include/radishspread/core/rs_agent_options.hpp
+++ b/packages/core/include/radishspread/core/rs_agent_options.hpp
@@ -18,7 +18,9 @@
     service_id service = 0;
     backend_id backend = 0;
     domain_id domain = 0;
-    duration reservation_time = std::chrono::seconds(3);
+    /// As long as a caller tries to open a flow; shorter ones expired before
+    /// the first request of a caller whose packets a partition held back.
+    duration reservation_time = std::chrono::seconds(10);
     duration flow_idle_time = std::chrono::hours(24);
     duration progress_timeout = std::chrono::milliseconds(500);
     duration handover_retry = std::chrono::milliseconds(200);
--- a/packages/core/include/radishspread/core/rs_document.hpp
+++ b/packages/core/include/radishspread/core/rs_document.hpp
@@ -56,6 +56,11 @@
     void observe(
         instant now, service_id service, stamp const& seen, Sink& sink);
 
+    /// Pulls revision `newer` of a section from a peer known to hold it.
+    template <document_sink Sink>
+    void pull(instant now, std::string_view name, revision newer, endpoint peer,
+        Sink& sink);
+
     /// Detects a pause: returns true, marks the view unproven and emits
     /// `discard_queued` if `now` is too long after the last event.
     template <document_sink Sink> bool check_pause(instant now, Sink& sink);
--- a/packages/core/include/radishspread/core/rs_route_cookie.hpp
+++ b/packages/core/include/radishspread/core/rs_route_cookie.hpp
@@ -20,6 +20,10 @@
     endpoint agent;
     incarnation_id incarnation = 0;
     open_id opening = 0;
+    /// Of the section `domains` at the agent when it made the cookie. A process
+    /// that holds an older one must not reset the flow because it believes the
+    /// failure domain to be out.
+    revision domains_revision = 0;
     std::uint64_t tag = 0; ///< Keyed tag over the other fields and the flow.
 
     friend auto operator<=>(route_cookie const&, route_cookie const&) = default;
--- a/packages/core/src/rs_agent_flow_table.cpp
+++ b/packages/core/src/rs_agent_flow_table.cpp
@@ -10,8 +10,11 @@
     it.opening = opening;
     it.state = state;
     it.last_packet = now;
-    if (state == flow_state::reserved)
+    if (state == flow_state::reserved) {
         reservations_[key] = opening;
+        it.is_pending = true;
+        ++pending_;
+    }
     return it;
 }
 
@@ -45,6 +48,13 @@
         return;
     it.state = flow_state::established;
     reservations_.erase(it.key);
+    end_pending(it);
+}
+
+void flow_table::end_pending(flow_entry& it) {
+    if (it.is_pending)
+        --pending_;
+    it.is_pending = false;
 }
 
 void flow_table::set_moved(flow_entry& it) {
@@ -59,6 +69,7 @@
         return;
     if (it->second.state == flow_state::reserved)
         reservations_.erase(it->second.key);
+    end_pending(it->second);
     if (it->second.state == flow_state::moved)
         forget_moved(it->second);
     rows_.erase(it);
--- a/packages/core/src/rs_agent_state.cpp
+++ b/packages/core/src/rs_agent_state.cpp
@@ -74,7 +74,7 @@
 }
 
 std::size_t agent_state::demand() const {
-    return dispatches.size() + flows.reserved() + queue.size();
+    return dispatches.size() + flows.pending() + queue.size();
 }
 
 std::uint16_t agent_state::load() const {
@@ -100,7 +100,8 @@
                     .service = it.key.service,
                     .agent = options.document.self,
                     .incarnation = options.document.incarnation,
-                    .opening = it.opening},
+                    .opening = it.opening,
+                    .domains_revision = it.domains_revision},
         it.key);
 }
 
--- a/packages/core/src/rs_hashing.cpp
+++ b/packages/core/src/rs_hashing.cpp
@@ -57,7 +57,7 @@
 
 std::uint64_t cookie_tag(
     fleet_key const& secret, route_cookie const& cookie, flow_key const& key) {
-    packer<48> buf;
+    packer<56> buf;
     buf.add(cookie.key_id);
     buf.add(cookie.domain);
     buf.add(cookie.service);
@@ -65,6 +65,7 @@
     buf.add(cookie.agent.port);
     buf.add(cookie.incarnation);
     buf.add(cookie.opening);
+    buf.add(cookie.domains_revision);
     add_flow(buf, key);
     return keyed_tag(secret, buf.bytes());
 }
--- a/packages/core/tests/rs_hashing_test.cpp
+++ b/packages/core/tests/rs_hashing_test.cpp
@@ -30,6 +30,7 @@
     CHECK_TRUE(changed([](auto& it) { it.agent.address += 1; }));
     CHECK_TRUE(changed([](auto& it) { it.incarnation = 78; }));
     CHECK_TRUE(changed([](auto& it) { it.opening = 6; }));
+    CHECK_TRUE(changed([](auto& it) { it.domains_revision = 4; }));
     CHECK_FALSE(changed([](auto& it) { it.tag = 1; }));
 }
 
--- a/packages/wire/include/radishspread/wire/internal/rs_messages_generated.hpp
+++ b/packages/wire/include/radishspread/wire/internal/rs_messages_generated.hpp
@@ -348,6 +348,7 @@
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Cookie FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t incarnation_;
+  uint64_t domains_revision_;
   uint64_t tag_;
   uint32_t service_;
   uint32_t opening_;
@@ -360,6 +361,7 @@
   struct Traits;
   Cookie()
       : incarnation_(0),
+        domains_revision_(0),
         tag_(0),
         service_(0),
         opening_(0),
@@ -371,8 +373,9 @@
     (void)padding0__;
     (void)padding1__;
   }
-  Cookie(uint64_t _incarnation, uint64_t _tag, uint32_t _service, uint32_t _opening, const radishspread::wire::schema::Endpoint &_agent, uint16_t _domain, uint8_t _key_id)
+  Cookie(uint64_t _incarnation, uint64_t _domains_revision, uint64_t _tag, uint32_t _service, uint32_t _opening, const radishspread::wire::schema::Endpoint &_agent, uint16_t _domain, uint8_t _key_id)
       : incarnation_(flatbuffers::EndianScalar(_incarnation)),
+        domains_revision_(flatbuffers::EndianScalar(_domains_revision)),
         tag_(flatbuffers::EndianScalar(_tag)),
         service_(flatbuffers::EndianScalar(_service)),
         opening_(flatbuffers::EndianScalar(_opening)),
@@ -387,6 +390,9 @@
   uint64_t incarnation() const {
     return flatbuffers::EndianScalar(incarnation_);
   }
+  uint64_t domains_revision() const {
+    return flatbuffers::EndianScalar(domains_revision_);
+  }
   uint64_t tag() const {
     return flatbuffers::EndianScalar(tag_);
   }
@@ -406,7 +412,7 @@
     return flatbuffers::EndianScalar(key_id_);
   }
 };
-FLATBUFFERS_STRUCT_END(Cookie, 40);
+FLATBUFFERS_STRUCT_END(Cookie, 48);
 
 struct Cookie::Traits {
   using type = Cookie;
--- a/packages/wire/include/radishspread/wire/internal/rs_schema_types.hpp
+++ b/packages/wire/include/radishspread/wire/internal/rs_schema_types.hpp
@@ -21,8 +21,8 @@
 }
 
 [[nodiscard]] inline schema::Cookie to_schema(route_cookie const& it) {
-    return {it.incarnation, it.tag, it.service, it.opening, to_schema(it.agent),
-        it.domain, it.key_id};
+    return {it.incarnation, it.domains_revision, it.tag, it.service, it.opening,
+        to_schema(it.agent), it.domain, it.key_id};
 }
 
 [[nodiscard]] inline schema::Trace to_schema(trace_context const& it) {
@@ -57,6 +57,7 @@
         .agent = from_schema(it.agent()),
         .incarnation = it.incarnation(),
         .opening = it.opening(),
+        .domains_revision = it.domains_revision(),
         .tag = it.tag()};
 }
 
