Fake world: destroy processes before their backend servers

Cause: an agent process disconnects from its fake backend server when it is destroyed; the map of backend servers was destroyed first. The address sanitizer named the access after a crash in the run of mutations. Ruled out: a fault in the cores. Change: order of two members. Conclusion: none further.

--- a/tests/fakes/rs_world.hpp
+++ b/tests/fakes/rs_world.hpp
@@ -111,8 +111,8 @@
     deployment fleet_;
     std::mt19937_64 random_;
     action_filter& filter_;
-    std::map<endpoint, std::unique_ptr<process>> processes_;
     std::map<backend_id, std::unique_ptr<fake_backend>> backends_;
+    std::map<endpoint, std::unique_ptr<process>> processes_; // use backends_
     std::map<endpoint, std::unique_ptr<fake_caller>> callers_;
     std::vector<endpoint> fabric_; ///< Balancers that the fabric sprays over.
     std::map<endpoint, std::int64_t> last_stamp_;
