Core: fix reads of refused services, renumbered domains, faster selection

Cause: a refused service was read again after every accepted section of a service, a lower watch position was adopted and could skip changes, and a renumbered failure domain left old numbers in sections in effect. Selection spent most of its time on mispredicted comparisons.

Ruled out: asking the shell to parse all services again when `domains` changes; resolving the stored names is enough.

Conclusion: behaviour is in place; tests of the failure paths follow.

--- a/packages/core/include/radishspread/core/internal/rs_balancer_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_balancer_impl.hpp
@@ -78,7 +78,7 @@
         drop(balancer_event::foreign_cookie);
         return;
     }
-    if (document_.held(internal::domains_name) == 0) {
+    if (!document_.has_domains()) {
         drop(balancer_event::domains_unknown);
         return;
     }
@@ -176,29 +176,34 @@
 template <balancer_sink Sink>
 void balancer::track(instant now, flow_key const& key,
     candidate_list const& list, caller_packet const& packet, Sink& sink) {
-    if (pending_.contains(key))
-        return; // A repeated or duplicated opening; the first one is tracked.
-    auto* const it = pending_.add(key, now);
-    if (it == nullptr) {
+    if (pending_.is_full()) {
         report(now,
             {.number = balancer_event::pending_full, .step = step::open}, sink);
         return;
     }
-    it->packet = packet;
-    it->packet.payload = {};
-    it->tried_and_next = list;
+    auto* const it = pending_.add(key, now);
+    if (it == nullptr)
+        return; // A repeated or duplicated opening; the first one is tracked.
+    it->attempt = packet.attempt;
+    it->trace = packet.trace;
+    it->candidates = list;
 }
 
 template <balancer_sink Sink>
 void balancer::hedge(instant now, internal::pending_opening& it, Sink& sink) {
-    count_miss(now, it.tried_and_next.front().agent, sink);
+    count_miss(now, it.candidates.front().agent, sink);
     candidate_list rest;
-    for (std::size_t i = 1; i < it.tried_and_next.size(); ++i)
-        if (!document_.is_out(it.tried_and_next[i].domain))
-            rest.push_back(it.tried_and_next[i]);
-    if (!rest.empty() && document_.is_proven())
-        send_forward(
-            now, rest.front().agent, rest, it.key.caller, it.packet, sink);
+    for (std::size_t i = 1; i < it.candidates.size(); ++i)
+        if (!document_.is_out(it.candidates[i].domain))
+            rest.push_back(it.candidates[i]);
+    if (rest.empty() || !document_.is_proven())
+        return;
+    caller_packet const packet{.kind = packet_kind::open,
+        .service = it.key.service,
+        .flow = it.key.flow,
+        .attempt = it.attempt,
+        .trace = it.trace};
+    send_forward(now, rest.front().agent, rest, it.key.caller, packet, sink);
 }
 
 template <balancer_sink Sink>
--- a/packages/core/include/radishspread/core/internal/rs_document_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_document_impl.hpp
@@ -79,15 +79,13 @@
 template <document_sink Sink>
 void document::accept(instant now, section_ptr const& value, Sink& sink) {
     report(sink, document_event::section_in_effect, value->name, value->held);
-    // A section of a service may name a failure domain, id or port that was
-    // not available until now.
-    if (!value->name.starts_with("hosts/"))
+    if (table_.unblocks_services())
         reads_.retry_refused_services(
             now + random_.up_to(options_.read_jitter));
     // A revision may be newer and still not the newest, from a stale replica.
     if (reads_.finish_read(value->name, value->held))
-        reads_.reschedule(value->name, now + backoff(0));
-    sink.section_in_force(value);
+        reads_.reschedule(value->name, now);
+    sink.section_in_force(table_.find(value->name));
 }
 
 template <document_sink Sink>
@@ -193,7 +191,9 @@
     }
     bool const is_whole = watch_.after == 0;
     watch_.is_waiting = false;
-    watch_.index = event.index;
+    // A lower position comes from a stale replica or from a service that has
+    // lost its positions; changes may lie between, so the list is read anew.
+    watch_.index = event.index < watch_.after ? 0 : event.index;
     watch_.failures = is_stale ? watch_.failures + 1 : 0;
     bool const was_idle = event.changes.empty() && !is_prompt;
     if (is_stale)
@@ -228,7 +228,9 @@
 
 template <document_sink Sink>
 void document::run_watch(instant now, Sink& sink) {
-    auto const limit = watch_wait + internal::watch_grace;
+    // The whole list is answered at once, however long a watch may wait.
+    auto const limit = watch_.after == 0 ? internal::read_timeout
+                                         : watch_wait + internal::watch_grace;
     if (watch_.is_waiting && now - watch_.sent >= limit)
         handle(now, watch_failed_event{}, sink);
     // Until the view is proven the whole list is needed, not the changes.
--- a/packages/core/include/radishspread/core/internal/rs_pending_openings.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_pending_openings.hpp
@@ -1,14 +1,16 @@
 #ifndef RADISHSPREAD_CORE_INTERNAL_RS_PENDING_OPENINGS_HPP
 #define RADISHSPREAD_CORE_INTERNAL_RS_PENDING_OPENINGS_HPP
 
-#include <radishspread/core/rs_caller_packet.hpp>
 #include <radishspread/core/rs_candidate.hpp>
 #include <radishspread/core/rs_flow_key.hpp>
 #include <radishspread/core/rs_time.hpp>
+#include <radishspread/core/rs_trace_context.hpp>
 
 #include <boost/intrusive/list.hpp>
 #include <boost/intrusive/unordered_set.hpp>
 #include <cstddef>
+#include <cstdint>
+#include <functional>
 #include <vector>
 
 namespace radishspread::internal {
@@ -17,8 +19,9 @@
 struct pending_opening : boost::intrusive::list_base_hook<>,
                          boost::intrusive::unordered_set_base_hook<> {
     flow_key key;
-    caller_packet packet;          ///< Without payload.
-    candidate_list tried_and_next; ///< The first one has the opening.
+    std::uint8_t attempt = 0;
+    trace_context trace;
+    candidate_list candidates; ///< The first one has the opening.
     instant sent;
 };
 
@@ -41,7 +44,6 @@
 
     /// New entry for `key`; null if the table is full or holds one.
     pending_opening* add(flow_key const& key, instant now);
-    [[nodiscard]] bool contains(flow_key const& key) const;
     /// Removes the entry of `key`, if any.
     void erase(flow_key const& key);
     /// Oldest entry if it was sent at or before `limit`, else null. The caller
--- a/packages/core/include/radishspread/core/internal/rs_section_table.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_section_table.hpp
@@ -35,13 +35,16 @@
 /// Name of the section that lists the failure domains.
 inline constexpr std::string_view domains_name = "domains";
 
-/// Sections in effect, by name and by service. Revisions only grow.
+/// Sections in effect, by name and by service. Revisions only grow. Failure
+/// domains of backend servers are numbered as the newest `domains` does, also
+/// in sections that were parsed with an older one.
 class section_table {
 public:
     using map_type = std::map<std::string, section_ptr, std::less<>>;
 
     section_table(std::size_t max_sections, std::size_t max_text);
 
+    /// Puts `value` into effect, unless the result says otherwise.
     insert_result insert(section_ptr const& value);
 
     [[nodiscard]] section_ptr find(std::string_view name) const;
@@ -57,6 +60,9 @@
     [[nodiscard]] bool is_leaving(std::string_view host) const {
         return leaving_.find(host) != leaving_.end();
     }
+    /// True if the last section accepted may make a refused section of a
+    /// service acceptable: it is `domains`, or it gave up a service id or port.
+    [[nodiscard]] bool unblocks_services() const { return unblocks_services_; }
     /// Sum of a hash of each name and revision, in any order.
     [[nodiscard]] std::uint64_t view_hash() const { return view_hash_; }
     /// Sections accepted so far, except those of services.
@@ -78,6 +84,8 @@
     [[nodiscard]] insert_result check_service(section const& it) const;
     void apply_service(section_ptr const& value, section const* previous);
     void apply_domains(section const& value);
+    [[nodiscard]] section_ptr resolve(section_ptr const& value) const;
+    [[nodiscard]] domain_id resolve(backend_entry const& it) const;
     void apply_hosts();
     void note_recent(section_ptr const& value);
 
@@ -89,7 +97,9 @@
     std::unordered_map<std::uint16_t, service_id> ports_;
     std::set<std::string, std::less<>> leaving_;
     std::vector<section_ptr> recent_;
+    std::map<std::string, domain_id, std::less<>> domain_ids_;
     std::uint64_t out_ = 0;
+    bool unblocks_services_ = false;
     revision domains_revision_ = 0;
     std::uint64_t view_hash_ = 0;
     std::uint64_t shared_changes_ = 0;
--- a/packages/core/include/radishspread/core/rs_candidate_selection.hpp
+++ b/packages/core/include/radishspread/core/rs_candidate_selection.hpp
@@ -51,8 +51,9 @@
     void add(backend_entry const& it, std::uint32_t suspect = 0);
 
     /// Candidates of the flow, best first, suspects last, then rotated by
-    /// `attempt`. `suspects` may be empty: no backend server is suspect.
-    /// Allocates nothing.
+    /// `attempt`; every `max_candidates` attempts another set is chosen.
+    /// `suspects` may be empty: no backend server is suspect. Allocates
+    /// nothing.
     [[nodiscard]] candidate_list select(std::uint64_t flow_hash,
         std::uint8_t attempt,
         std::span<std::uint8_t const> suspects = {}) const;
@@ -68,6 +69,7 @@
         candidate value;
     };
     std::vector<row> rows_;
+    bool has_equal_weights_ = true;
 };
 
 /// One backend server in an explanation.
--- a/packages/core/include/radishspread/core/rs_document.hpp
+++ b/packages/core/include/radishspread/core/rs_document.hpp
@@ -29,7 +29,8 @@
 ///
 /// Every public function that takes `now` first checks for a gap since the
 /// last call; a gap above `document_options::pause_limit` means that the
-/// process was paused, after which the view is unproven.
+/// process was paused, after which the view is unproven. A sink must not call
+/// back into the document.
 class document {
 public:
     explicit document(document_options options);
@@ -69,6 +70,10 @@
     [[nodiscard]] service_section const* service(service_id id) const;
     /// Revision in effect of `name`; 0 if none.
     [[nodiscard]] revision held(std::string_view name) const;
+    /// True if a revision of `domains` is in effect.
+    [[nodiscard]] bool has_domains() const {
+        return table_.domains_revision() != 0;
+    }
     /// True if `domains` is held and has the failure domain as out.
     [[nodiscard]] bool is_out(domain_id id) const;
     /// True if a host list has the host of this name as leaving.
--- a/packages/core/src/rs_candidate_selection.cpp
+++ b/packages/core/src/rs_candidate_selection.cpp
@@ -17,9 +17,9 @@
 static_assert(status_names.size() ==
               static_cast<std::size_t>(candidate_status::domain_out) + 1);
 
-/// Added to the score of a suspect, so that it ranks behind all others. Scores
-/// themselves are below 64.
-constexpr double suspect_penalty = 1e6;
+/// Set in the key of a suspect, so that it ranks behind all others, whose keys
+/// are lower.
+constexpr std::uint64_t suspect_bit = std::uint64_t{1} << 63U;
 
 /// Bits of the mantissa that index the logarithm table.
 constexpr unsigned table_bits = 10;
@@ -61,9 +61,32 @@
     return value ^ (value >> 31U);
 }
 
-struct scored {
-    double score = 0;
-    std::uint32_t row = 0;
+/// Low bits of a sort key that hold the row. A section of 1 MB has fewer rows,
+/// and the bits of the score that are lost do not matter.
+constexpr unsigned row_bits = 16;
+constexpr std::uint64_t row_mask = (std::uint64_t{1} << row_bits) - 1;
+
+/// The lowest sort keys so far, in order. Each key passes all places without a
+/// branch, because the outcome of the comparisons cannot be predicted.
+class best_rows {
+public:
+    best_rows() { keys_.fill(~std::uint64_t{0}); }
+
+    void add(std::uint64_t score, std::size_t row) {
+        auto key = (score & ~row_mask) | row;
+        for (auto& it : keys_) {
+            auto const higher = std::max(it, key);
+            it = std::min(it, key);
+            key = higher;
+        }
+    }
+
+    [[nodiscard]] std::size_t operator[](std::size_t i) const {
+        return keys_[i] & row_mask;
+    }
+
+private:
+    std::array<std::uint64_t, max_candidates> keys_;
 };
 
 } // namespace
@@ -73,32 +96,41 @@
 }
 
 void candidate_table::add(backend_entry const& it, std::uint32_t suspect) {
+    if (rows_.size() > row_mask)
+        return;
+    auto const inverse = 1.0 / std::max<std::uint32_t>(it.slots, 1);
+    if (!rows_.empty() && rows_.front().inverse_weight != inverse)
+        has_equal_weights_ = false;
     rows_.push_back({.seed = XXH3_64bits(&it.id, sizeof it.id),
-        .inverse_weight = 1.0 / std::max<std::uint32_t>(it.slots, 1),
+        .inverse_weight = inverse,
         .suspect = suspect,
         .value = {.id = it.id, .agent = it.agent, .domain = it.domain}});
 }
 
 candidate_list candidate_table::select(std::uint64_t flow_hash,
     std::uint8_t attempt, std::span<std::uint8_t const> suspects) const {
-    std::array<scored, max_candidates> best;
-    std::size_t n = 0;
-    for (std::uint32_t i = 0; i != rows_.size(); ++i) {
+    // Once every candidate had its turn, another set is tried: all of the
+    // first may have failed together.
+    auto const round = attempt / max_candidates;
+    auto const hash = flow_hash + round * 0x9e3779b97f4a7c15U;
+    best_rows best;
+    for (std::size_t i = 0; i != rows_.size(); ++i) {
         auto const& it = rows_[i];
-        auto score =
-            negative_log2(mix(flow_hash ^ it.seed)) * it.inverse_weight;
+        auto const mixed = mix(hash ^ it.seed);
+        // Equal weights need no logarithm: the largest hash has the lowest
+        // score. Scores are not negative, so their bits sort as they do.
+        auto key = has_equal_weights_
+                       ? ~mixed >> 1U
+                       : std::bit_cast<std::uint64_t>(
+                             negative_log2(mixed) * it.inverse_weight);
         if (it.suspect < suspects.size() && suspects[it.suspect] != 0)
-            score += suspect_penalty;
-        if (n == best.size() && score >= best[n - 1].score)
-            continue;
-        auto at = n == best.size() ? n - 1 : n++;
-        for (; at != 0 && best[at - 1].score > score; --at)
-            best[at] = best[at - 1];
-        best[at] = {score, i};
+            key |= suspect_bit;
+        best.add(key, i);
     }
+    auto const n = std::min(rows_.size(), max_candidates);
     candidate_list list;
     for (std::size_t i = 0; i != n; ++i)
-        list.push_back(rows_[best[(i + attempt) % n].row].value);
+        list.push_back(rows_[best[(i + attempt) % n]].value);
     return list;
 }
 
--- a/packages/core/src/rs_pending_openings.cpp
+++ b/packages/core/src/rs_pending_openings.cpp
@@ -20,21 +20,18 @@
 }
 
 pending_opening* pending_openings::add(flow_key const& key, instant now) {
-    if (free_.empty() || contains(key))
+    if (free_.empty())
         return nullptr;
     auto& it = free_.front();
-    free_.pop_front();
     it.key = key;
     it.sent = now;
-    by_key_.insert(it);
+    if (!by_key_.insert(it).second)
+        return nullptr;
+    free_.pop_front();
     waiting_.push_back(it);
     return &it;
 }
 
-bool pending_openings::contains(flow_key const& key) const {
-    return by_key_.find(key) != by_key_.end();
-}
-
 void pending_openings::erase(flow_key const& key) {
     auto const found = by_key_.find(key);
     if (found == by_key_.end())
@@ -42,7 +39,7 @@
     auto& it = *found;
     by_key_.erase(found);
     waiting_.erase(waiting_.iterator_to(it));
-    free_.push_back(it);
+    free_.push_front(it); // The next one finds its memory in the cache.
 }
 
 pending_opening* pending_openings::oldest(instant limit) {
--- a/packages/core/src/rs_read_schedule.cpp
+++ b/packages/core/src/rs_read_schedule.cpp
@@ -40,6 +40,9 @@
     if (found == wanted_.end())
         return false;
     found->second.is_reading = false;
+    auto const refused = refused_.find(name);
+    if (refused != refused_.end() && refused->second <= held)
+        refused_.erase(refused);
     if (found->second.wanted > held)
         return true;
     wanted_.erase(found);
--- a/packages/core/src/rs_section_table.cpp
+++ b/packages/core/src/rs_section_table.cpp
@@ -102,6 +102,7 @@
         return result;
     auto& slot = sections_[value->name];
     section_ptr const previous = std::exchange(slot, value);
+    unblocks_services_ = value->name == domains_name;
     if (previous) {
         text_ -= previous->text.size();
         view_hash_ -= entry_hash(*previous);
@@ -110,7 +111,8 @@
     view_hash_ += entry_hash(*value);
     note_recent(value);
     if (std::holds_alternative<service_section>(value->content)) {
-        apply_service(value, previous.get());
+        slot = resolve(value);
+        apply_service(slot, previous.get());
         return result;
     }
     ++shared_changes_;
@@ -123,12 +125,13 @@
 
 void section_table::apply_service(
     section_ptr const& value, section const* previous) {
+    auto const& content = std::get<service_section>(value->content);
     if (previous != nullptr) {
         auto const& old = std::get<service_section>(previous->content);
+        unblocks_services_ = old.id != content.id || old.port != content.port;
         services_.erase(old.id);
         ports_.erase(old.port);
     }
-    auto const& content = std::get<service_section>(value->content);
     services_[content.id] = value;
     ports_[content.port] = content.id;
     ++service_changes_;
@@ -136,11 +139,39 @@
 
 void section_table::apply_domains(section const& value) {
     out_ = 0;
+    domain_ids_.clear();
     for (auto const& it :
-        std::get<domains_section>(value.content).failure_domains)
+        std::get<domains_section>(value.content).failure_domains) {
+        domain_ids_.emplace(it.name, it.id);
         if (it.is_out)
             out_ |= std::uint64_t{1} << (it.id - 1U);
+    }
     domains_revision_ = value.held;
+    for (auto& [name, held] : sections_) {
+        held = resolve(held);
+        if (auto const* it = std::get_if<service_section>(&held->content))
+            services_[it->id] = held;
+    }
+}
+
+domain_id section_table::resolve(backend_entry const& it) const {
+    auto const found = domain_ids_.find(it.domain_name);
+    return found == domain_ids_.end() ? it.domain : found->second;
+}
+
+section_ptr section_table::resolve(section_ptr const& value) const {
+    auto const* content = std::get_if<service_section>(&value->content);
+    if (content == nullptr)
+        return value;
+    auto const& all = content->backend_servers;
+    bool const is_current = std::all_of(all.begin(), all.end(),
+        [&](backend_entry const& it) { return resolve(it) == it.domain; });
+    if (is_current)
+        return value;
+    auto changed = *value;
+    for (auto& it : std::get<service_section>(changed.content).backend_servers)
+        it.domain = resolve(it);
+    return std::make_shared<section const>(std::move(changed));
 }
 
 void section_table::apply_hosts() {
--- a/packages/core/tests/rs_balancer_test.cpp
+++ b/packages/core/tests/rs_balancer_test.cpp
@@ -91,7 +91,7 @@
 TEST(balancer_core, request_with_cookie_goes_to_its_agent) {
     request(make_cookie(1, 1, 7));
     CHECK_EQUAL(1, sink.forwards.size());
-    CHECK_TRUE(endpoint(0x7f000001, 9001) == sink.forwards[0].to);
+    CHECK_TRUE(make_backend(1).agent == sink.forwards[0].to);
     CHECK_TRUE(self == sink.forwards[0].value.reply_to);
     CHECK_EQUAL(1, sink.forwards[0].value.origin.domains_revision);
 }
--- a/packages/core/tests/rs_candidate_selection_test.cpp
+++ b/packages/core/tests/rs_candidate_selection_test.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr std::uint64_t flows = 20000;
+constexpr std::uint32_t flows = 20000;
 
 candidate_table make_table(std::vector<backend_id> const& ids) {
     candidate_table table;
