Core: tests of the document and the balancer under faults

Ruled out: a simulated fleet; each test drives one core with a recording sink and virtual time.

Change: tests of proof after start and pause, stale service and peers, lost reads, silent watch, bounds, hedge, suspicion, failure domains out and stop; candidate rotation without a division per candidate.

--- a/packages/core/src/rs_candidate_selection.cpp
+++ b/packages/core/src/rs_candidate_selection.cpp
@@ -129,8 +129,11 @@
     }
     auto const n = std::min(rows_.size(), max_candidates);
     candidate_list list;
-    for (std::size_t i = 0; i != n; ++i)
-        list.push_back(rows_[best[(i + attempt) % n]].value);
+    auto next = n == 0 ? 0 : attempt % n;
+    for (std::size_t i = 0; i != n; ++i) {
+        list.push_back(rows_[best[next]].value);
+        next = next + 1 == n ? 0 : next + 1;
+    }
     return list;
 }
 
--- a/packages/core/tests/rs_balancer_test.cpp
+++ b/packages/core/tests/rs_balancer_test.cpp
@@ -139,3 +139,136 @@
     CHECK_EQUAL(2, list.size());
     CHECK_EQUAL(11, list[0].id + list[1].id); // b5 and b6
 }
+
+// P10: after a pause `domains` may be old; openings wait for a proof, while
+// established flows go on.
+TEST(balancer_core, paused_balancer_routes_cookies_and_drops_openings) {
+    step(100ms);
+    now += 1100ms;
+    open(7);
+    CHECK_EQUAL(1, sink.discards);
+    open(7);
+    CHECK_EQUAL(0, sink.forwards.size());
+    request(make_cookie(1, 1, 7));
+    CHECK_EQUAL(1, sink.forwards.size());
+}
+
+// Replies lost in a pause of this process are not the fault of the agents.
+TEST(balancer_core, openings_pending_in_pause_do_not_count_against_agents) {
+    open(7);
+    now += 1100ms;
+    it.tick(now, sink);
+    step(500ms);
+    CHECK_EQUAL(1, sink.forwards.size());
+}
+
+// A dead first candidate must cost one timeout, and only one more packet.
+TEST(balancer_core, opening_without_reply_is_hedged_once_to_next_candidate) {
+    open(7);
+    step(1s);
+    CHECK_EQUAL(2, sink.forwards.size());
+    auto const& first = sink.forwards[0].value.candidates;
+    auto const& second = sink.forwards[1].value;
+    CHECK_TRUE(sink.forwards[1].to == first[1].agent);
+    CHECK_EQUAL(3, second.candidates.size());
+    CHECK_TRUE(packet_kind::open == second.packet.kind);
+    CHECK_EQUAL(7, second.packet.flow);
+}
+
+// A hedge after a reply would reserve slots twice.
+TEST(balancer_core, opening_with_reply_is_not_hedged) {
+    open(7);
+    reply(2, {.kind = reply_kind::opened, .service = 1, .flow = 7});
+    step(1s);
+    CHECK_EQUAL(1, sink.forwards.size());
+    CHECK_EQUAL(1, sink.replies.size());
+    CHECK_TRUE(caller == sink.replies[0].to);
+}
+
+// Openings would go on starting at a dead agent; one that was heard from in
+// between is only slow.
+TEST(balancer_core, agent_silent_twice_is_suspect_until_heard) {
+    open(7);
+    auto const first = sink.forwards[0].value.candidates[0];
+    step(1s);
+    reply(first.id, {.kind = reply_kind::answer, .service = 1});
+    open(7);
+    step(1s);
+    CHECK_FALSE(sink.has_log(balancer_event::agent_suspect));
+    open(7);
+    step(1s);
+    CHECK_TRUE(sink.has_log(balancer_event::agent_suspect));
+    sink.clear();
+    open(7);
+    CHECK_FALSE(first.agent == sink.forwards[0].to);
+    reply(first.id, {.kind = reply_kind::answer, .service = 1});
+    open(7);
+    CHECK_TRUE(first.agent == sink.forwards[1].to);
+}
+
+// P4: a stale agent must not attract a flow to a failure domain that is out.
+TEST(balancer_core, opened_reply_from_domain_that_is_out_is_dropped) {
+    arrived(make_domains(2, {1}));
+    caller_reply value{.service = 1, .flow = 7, .cookie = make_cookie(1, 1, 7)};
+    reply(1, value);
+    CHECK_EQUAL(0, sink.replies.size());
+    value.cookie = make_cookie(1, 2, 7);
+    reply(2, value);
+    CHECK_EQUAL(1, sink.replies.size());
+}
+
+// P6: a refused opening must say so; silence would hold the caller for 10 s.
+TEST(balancer_core, opening_without_any_candidate_is_refused) {
+    arrived(make_domains(2, {1, 2, 3}));
+    open(7);
+    CHECK_EQUAL(1, sink.replies.size());
+    CHECK_TRUE(reply_kind::refused == sink.replies[0].value.kind);
+    CHECK_TRUE(outcome::not_run == sink.replies[0].value.outcome);
+    CHECK_TRUE(reason::no_backend_server == sink.replies[0].value.reason);
+}
+
+// P9: a balancer that ends at once would lose replies on their way.
+TEST(balancer_core, stopping_balancer_routes_until_quiet) {
+    it.handle(now, stop_event{.deadline = 30s}, sink);
+    CHECK_FALSE(it.is_finished(now));
+    step(900ms);
+    request(make_cookie(1, 1, 7));
+    CHECK_EQUAL(1, sink.forwards.size());
+    step(900ms);
+    CHECK_FALSE(it.is_finished(now));
+    step(200ms);
+    CHECK_TRUE(it.is_finished(now));
+}
+
+TEST_GROUP(agent_suspicion) {
+    internal::suspicion_table table{10s, 5s};
+    instant const now{100s};
+
+    void setup() override {
+        for (backend_id id = 1; id <= 6; ++id)
+            table.add(make_backend(id).agent, 1);
+        table.drop_unused();
+    }
+    // Number of agents ranked last after `n` of them missed two openings.
+    long flags_after(unsigned n) {
+        for (backend_id id = 1; id <= n; ++id) {
+            table.missed(make_backend(id).agent, now);
+            table.missed(make_backend(id).agent, now + 1s);
+        }
+        return std::count(table.flags().begin(), table.flags().end(), 1);
+    }
+};
+
+// A balancer whose own link is bad would avoid a whole failure domain.
+TEST(agent_suspicion, suspicion_of_most_of_a_domain_is_ignored) {
+    CHECK_EQUAL(3, flags_after(3));
+    CHECK_EQUAL(0, flags_after(4));
+}
+
+TEST(agent_suspicion, suspicion_ends_after_its_time) {
+    CHECK_EQUAL(2, flags_after(2));
+    table.expire(now + 5900ms);
+    CHECK_EQUAL(1, table.flags()[0]);
+    table.expire(now + 6s);
+    CHECK_EQUAL(0, table.flags()[0]);
+}
--- a/packages/core/tests/rs_document_test.cpp
+++ b/packages/core/tests/rs_document_test.cpp
@@ -48,6 +48,8 @@
             .is_balancer = true,
             .view_hash = 1};
     }
+    // Proven by the service; the peer stays silent. Ends with a watch waiting
+    // that was sent in the last 2 s.
     void prove() {
         it.start(now, sink);
         watched({{"domains", 1}});
@@ -84,3 +86,218 @@
     CHECK_EQUAL(5, it.held("domains"));
     CHECK_TRUE(it.is_out(2));
 }
+
+// P4: with only one source heard, the other may still know something newer;
+// it is awaited for 2 s and no longer.
+TEST(document_reader, silent_peer_at_start_delays_proof_by_its_timeout) {
+    it.start(now, sink);
+    watched({{"domains", 1}});
+    arrived(make_domains(1));
+    step(1950ms);
+    CHECK_FALSE(it.is_proven());
+    step(50ms);
+    CHECK_TRUE(it.is_proven());
+}
+
+// An unproven peer may be as stale as this process.
+TEST(document_reader, unproven_peer_without_service_proves_nothing) {
+    it.start(now, sink);
+    it.handle(now, watch_failed_event{}, sink);
+    it.handle(now, answer_of_peer(false), sink);
+    indexed({{"domains", 1}});
+    arrived(make_domains(1), peer);
+    step(5s);
+    CHECK_FALSE(it.is_proven());
+    CHECK_TRUE(sink.has_log(document_event::view_unproven));
+    it.handle(now, answer_of_peer(true), sink);
+    indexed({{"domains", 1}});
+    CHECK_TRUE(it.is_proven());
+}
+
+// After a pause an answer to an earlier question says nothing about now.
+TEST(document_reader, reply_from_before_pause_does_not_prove_view) {
+    prove();
+    step(1s);
+    auto const old = answer_of_peer(true);
+    now += 1500ms;
+    it.tick(now, sink);
+    CHECK_EQUAL(1, sink.discards);
+    CHECK_FALSE(it.is_proven());
+    CHECK_EQUAL(0, sink.watches.back());
+    it.handle(now, old, sink);
+    it.handle(now, watch_failed_event{}, sink);
+    step(3s);
+    CHECK_FALSE(it.is_proven());
+}
+
+// P4: a replica behind this process cannot know that nothing has changed.
+TEST(document_reader, stale_service_after_pause_does_not_prove_view) {
+    prove();
+    arrived(make_domains(5));
+    now += 1500ms;
+    it.tick(now, sink);
+    watched({{"domains", 4}});
+    step(3s);
+    CHECK_FALSE(it.is_proven());
+    CHECK_EQUAL(0, sink.watches.back());
+    watched({{"domains", 5}});
+    CHECK_TRUE(it.is_proven());
+}
+
+// Reading a refused revision again and again would load the service.
+TEST(document_reader, refused_revision_is_not_read_again) {
+    prove();
+    watched({{"service/s1", 3}});
+    step(2s);
+    CHECK_EQUAL(1, sink.reads.size());
+    it.handle(
+        now, section_refused_event{.name = "service/s1", .refused = 3}, sink);
+    watched({{"service/s1", 3}});
+    step(5s);
+    CHECK_EQUAL(1, sink.reads.size());
+    arrived(make_service(2, 2, 3));
+    step(5s);
+    CHECK_EQUAL(1, sink.reads.size());
+    // It may have named a failure domain that only the new `domains` has.
+    arrived(make_domains(2));
+    step(2s);
+    CHECK_EQUAL(2, sink.reads.size());
+}
+
+// Names of failure domains cannot be resolved before `domains` is in effect.
+TEST(document_reader, service_before_domains_waits) {
+    it.start(now, sink);
+    watched({{"service/s1", 3}, {"domains", 1}});
+    step(1s);
+    CHECK_FALSE(sink.has_read("service/s1", {}));
+    arrived(make_domains(1));
+    CHECK_TRUE(sink.has_read("service/s1", {}));
+}
+
+// P4: an old number would keep a backend server in service.
+TEST(document_reader, renumbered_domain_is_applied_to_services_in_effect) {
+    prove();
+    auto renamed = *make_service(1, 1, 3);
+    auto& all = std::get<service_section>(renamed.content).backend_servers;
+    all[0].domain_name = "d2"; // Number 1 in an older `domains`.
+    arrived(std::make_shared<section const>(renamed));
+    CHECK_EQUAL(2, it.service(1)->backend_servers[0].domain);
+    auto changed = *make_domains(2);
+    std::get<domains_section>(changed.content).failure_domains[1].id = 9;
+    arrived(std::make_shared<section const>(changed));
+    CHECK_EQUAL(9, it.service(1)->backend_servers[0].domain);
+}
+
+// P2: two sections with one service id would mix their backend servers.
+TEST(document_reader, second_section_with_service_id_is_refused) {
+    prove();
+    arrived(make_service(1, 1, 3));
+    auto copy = *make_service(7, 1, 3);
+    copy.name = "service/other";
+    arrived(std::make_shared<section const>(copy));
+    CHECK_EQUAL(0, it.held("service/other"));
+    CHECK_TRUE(sink.has_log(document_event::service_claimed_twice));
+}
+
+// P10: with the service silent, a section must come from the peer that has it,
+// and a lost peer must not block the service.
+TEST(document_reader, lost_peer_and_silent_service_are_tried_in_turn) {
+    prove();
+    it.observe(now, 0, {.sender = peer, .domains_revision = 2}, sink);
+    CHECK_TRUE(sink.has_read("domains", peer));
+    CHECK_FALSE(sink.has_read("domains", {}));
+    step(3s);
+    CHECK_TRUE(sink.has_read("domains", {}));
+    sink.clear();
+    step(4s);
+    CHECK_TRUE(sink.has_read("domains", peer));
+}
+
+// A failing service must see at most one call per 30 s in the long run, and
+// all processes must not call it at the same time.
+TEST(document_reader, failing_watch_backs_off) {
+    prove();
+    it.handle(now, watch_failed_event{}, sink);
+    std::size_t seen = 0;
+    for (int i = 0; i != 4000; ++i) {
+        step(50ms);
+        if (sink.watches.size() == seen)
+            continue;
+        seen = sink.watches.size();
+        it.handle(now, watch_failed_event{}, sink);
+    }
+    CHECK_TRUE(sink.watches.size() > 8);
+    CHECK_TRUE(sink.watches.size() < 40);
+}
+
+// A connection that went silent would otherwise hide every later change.
+TEST(document_reader, silent_watch_is_replaced_after_30_s) {
+    prove();
+    step(27900ms);
+    CHECK_EQUAL(0, sink.watches.size());
+    step(3s);
+    CHECK_EQUAL(1, sink.watches.size());
+}
+
+// A position that goes back may hide changes in between.
+TEST(document_reader, lower_position_leads_to_whole_list) {
+    prove();
+    it.handle(now, watch_event{.index = 4}, sink);
+    step(2s);
+    CHECK_EQUAL(1, sink.watches.size());
+    CHECK_EQUAL(0, sink.watches[0]);
+}
+
+// A peer that asks must learn what it lacks, even what changed long ago.
+TEST(document_reader, digest_of_peer_that_is_behind_is_answered_with_newer) {
+    prove();
+    for (service_id id = 1; id <= 9; ++id)
+        arrived(make_service(2, id, 1));
+    peer_digest request{.origin = {.sender = peer}, .nonce = 4};
+    request.entries.push_back({.name = "service/s1", .held = 1});
+    request.entries.push_back({.name = "domains", .held = 8});
+    it.handle(now, request, sink);
+    auto const& reply = sink.digests.back();
+    CHECK_TRUE(reply.value.is_reply);
+    CHECK_EQUAL(4, reply.value.nonce);
+    CHECK_EQUAL(std::string("service/s1"), reply.entries[1].first);
+    CHECK_EQUAL(2, reply.entries[1].second);
+    CHECK_TRUE(sink.has_read("domains", peer));
+}
+
+// Unequal hashes that no entry explains hide a section that one side lacks;
+// asking each second would exceed 2 KB/s.
+TEST(document_reader, unexplained_difference_pulls_one_index) {
+    prove();
+    auto digest = answer_of_peer(true);
+    digest.nonce = 1;
+    digest.entries.push_back({.name = "domains", .held = 1});
+    it.handle(now, digest, sink);
+    it.handle(now, digest, sink);
+    CHECK_EQUAL(1, sink.indexes.size());
+}
+
+TEST_GROUP(section_bounds){
+    static section_ptr sized(char const* name, std::size_t bytes){
+        return std::make_shared<section const>(section{.name = name,
+            .held = 1,
+            .text = std::string(bytes, ' '),
+            .content = hosts_section{}});
+}
+}
+;
+
+// Sections without a bound would exceed the 32 MB of a process.
+TEST(section_bounds, section_over_any_bound_is_refused) {
+    using internal::insert_result;
+    internal::section_table table(2, 1000);
+    auto const insert = [&](char const* name, std::size_t bytes) {
+        return table.insert(sized(name, bytes));
+    };
+    CHECK_TRUE(insert_result::too_large == insert("hosts/a", 1001));
+    CHECK_TRUE(insert_result::accepted == insert("hosts/a", 600));
+    CHECK_TRUE(insert_result::too_large == insert("hosts/b", 600));
+    CHECK_TRUE(insert_result::accepted == insert("hosts/b", 400));
+    CHECK_TRUE(insert_result::table_full == insert("hosts/c", 0));
+    CHECK_TRUE(insert_result::wrong_content == insert("domains", 0));
+}
