Balancer test: packets allocate nothing

Cause: the bound of 0 allocations per packet had no test.

Ruled out: replacing operator new in the test program; CppUTest's leak detector counts allocations already.

Change: one test compares the count around a routed packet and an opening, after checking that allocations are counted.

Conclusion: the bound is guarded.

--- a/packages/core/tests/rs_balancer_test.cpp
+++ b/packages/core/tests/rs_balancer_test.cpp
@@ -4,6 +4,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <CppUTest/MemoryLeakDetector.h>
+#include <CppUTest/MemoryLeakWarningPlugin.h>
+
 using namespace radishspread;
 using namespace radishspread::test;
 using namespace std::chrono_literals;
@@ -223,6 +226,23 @@
     CHECK_EQUAL(1, sink.replies.size());
 }
 
+// An allocation for each packet would cost more than the routing decision.
+TEST(balancer_core, packets_allocate_nothing) {
+    auto const count = [] {
+        return MemoryLeakWarningPlugin::getGlobalDetector()
+            ->getCurrentAllocationNumber();
+    };
+    auto const cookie = make_cookie(1, 1, 7);
+    auto const before_reserve = count();
+    sink.forwards.reserve(2);
+    auto const before = count();
+    CHECK_TRUE(before != before_reserve); // Allocations are counted.
+    request(cookie);
+    open(7);
+    CHECK_EQUAL(before, count());
+    CHECK_EQUAL(2, sink.forwards.size());
+}
+
 // P6: a refused opening must say so; silence would hold the caller for 10 s.
 TEST(balancer_core, opening_without_any_candidate_is_refused) {
     arrived(make_domains(2, {1, 2, 3}));
