Command line with run, check, explain and version

Cause: both programs share their commands, and operators need all faults of settings and documents before anything starts. Ruled out: a parser in each binary; checking sections one by one only, which misses a port, number or agent that two services claim. Change: run_command_line on CLI11, parse_document with checks across sections, explain as a table over the core's candidate selection. Conclusion: the binaries only supply the run function.

--- /dev/null
+++ b/packages/config/src/rs_command_line.cpp
@@ -0,0 +1,198 @@
+#include <radishspread/config/rs_command_line.hpp>
+
+#include <radishspread/config/internal/rs_read_text.hpp>
+#include <radishspread/config/rs_explain.hpp>
+#include <radishspread/config/rs_parse_document.hpp>
+
+#include <CLI/CLI.hpp>
+
+#include <exception>
+#include <iostream>
+#include <vector>
+
+namespace radishspread::config {
+
+namespace {
+
+/// What the options on the command line say.
+struct arguments {
+    std::string settings_file;
+    std::vector<std::string> documents; ///< Each NAME=FILE.
+    std::string caller;
+    explain_query query;
+};
+
+void print(std::vector<fault> const& faults) {
+    for (auto const& each : faults)
+        std::cerr << to_string(each) << '\n';
+}
+
+int refuse(std::string const& file, std::string const& expected) {
+    print({{.file = file, .expected = expected}});
+    return exit_refused;
+}
+
+/// Settings of the file, or nothing after printing its faults.
+std::optional<settings> load_settings(std::string const& file, role which) {
+    auto const text = read_text(file);
+    if (!text) {
+        refuse(file, "expected a readable file");
+        return std::nullopt;
+    }
+    auto parsed = parse_settings(*text, file, which);
+    print(parsed.faults);
+    return std::move(parsed.value);
+}
+
+/// Sections of the files, or nothing after printing their faults.
+std::optional<std::vector<section_ptr>> load_document(
+    std::vector<std::string> const& documents) {
+    std::vector<section_source> sources;
+    bool is_complete = true;
+    for (auto const& each : documents) {
+        auto const equals = each.find('=');
+        auto const file =
+            equals == std::string::npos ? each : each.substr(equals + 1);
+        auto const text =
+            equals == std::string::npos ? std::nullopt : read_text(file);
+        if (!text) {
+            refuse(each, "expected NAME=FILE with a readable file");
+            is_complete = false;
+            continue;
+        }
+        sources.push_back(
+            {.name = each.substr(0, equals), .file = file, .text = *text});
+    }
+    auto parsed = parse_document(sources);
+    print(parsed.faults);
+    if (!is_complete || !parsed.faults.empty())
+        return std::nullopt;
+    return std::move(parsed.sections);
+}
+
+int do_run(arguments const& given, role which, run_function const& run) {
+    auto const found = load_settings(given.settings_file, which);
+    if (!found)
+        return exit_refused;
+    try {
+        return run(*found, given.settings_file);
+    } catch (std::exception const& error) {
+        std::cerr << found->name << ": " << error.what() << '\n';
+        return exit_failed;
+    }
+}
+
+int do_check(arguments const& given, role which) {
+    bool is_fine = true;
+    if (!given.settings_file.empty())
+        is_fine = load_settings(given.settings_file, which).has_value();
+    if (!given.documents.empty())
+        is_fine = load_document(given.documents).has_value() && is_fine;
+    if (!is_fine)
+        return exit_refused;
+    std::cout << "no faults\n";
+    return exit_fine;
+}
+
+int do_explain(arguments const& given, role which) {
+    auto query = given.query;
+    auto const caller = parse_endpoint(given.caller);
+    if (!caller)
+        return refuse("--caller", "expected an IPv4 address and port as "
+                                  "127.0.0.1:9000, found '" +
+                                      given.caller + '\'');
+    query.caller = *caller;
+    auto const found = load_settings(given.settings_file, which);
+    auto const sections = load_document(given.documents);
+    if (!found || !sections)
+        return exit_refused;
+    auto const table = explain(*sections, query);
+    if (!table)
+        return refuse("--service", "expected a service of the document, "
+                                   "found '" +
+                                       query.service + '\'');
+    std::cout << *table;
+    return exit_fine;
+}
+
+CLI::Option* add_settings(CLI::App& command, arguments& given) {
+    return command
+        .add_option(
+            "--settings", given.settings_file, "YAML settings of the process")
+        ->type_name("FILE");
+}
+
+CLI::Option* add_documents(CLI::App& command, arguments& given) {
+    return command
+        .add_option("--document", given.documents,
+            "Section of the shared document and the file with its text, as "
+            "domains=FILE or service/orders=FILE; any number")
+        ->type_name("NAME=FILE");
+}
+
+CLI::App* add_check(CLI::App& app, arguments& given) {
+    auto* command = app.add_subcommand(
+        "check", "Report all faults of settings or document sections");
+    auto* group = command->add_option_group("what to check");
+    add_settings(*group, given);
+    add_documents(*group, given);
+    group->require_option(1, 0);
+    return command;
+}
+
+CLI::App* add_explain(CLI::App& app, arguments& given) {
+    auto* command = app.add_subcommand("explain",
+        "Show which backend servers a flow may open on, and why not others");
+    add_settings(*command, given)->required();
+    add_documents(*command, given)->required();
+    command->add_option("--service", given.query.service, "Name of the service")
+        ->required();
+    command->add_option("--caller", given.caller, "Endpoint of the caller")
+        ->required()
+        ->type_name("IP:PORT");
+    command->add_option("--flow", given.query.flow, "Flow id of the caller")
+        ->required();
+    command->add_option("--attempt", given.query.attempt,
+        "Number of the attempt to open, from 0");
+    return command;
+}
+
+std::string_view program_name(role which) {
+    return which == role::balancer ? "radishspread-balancer"
+                                   : "radishspread-agent";
+}
+
+} // namespace
+
+int run_command_line(
+    int argc, char** argv, role which, run_function const& run) {
+    arguments given;
+    CLI::App app(
+        "Layer-4 load balancer: " +
+            std::string(which == role::balancer ? "balancer" : "agent"),
+        std::string(program_name(which)));
+    app.require_subcommand(1);
+    app.footer("Exit status: 0 fine, 1 failed at run time, 2 faults in usage, "
+               "settings or document.");
+    auto* run_command = app.add_subcommand("run", "Run the process");
+    add_settings(*run_command, given)->required();
+    auto* check = add_check(app, given);
+    auto* explain_command = add_explain(app, given);
+    auto* version = app.add_subcommand("version", "Print the version");
+    try {
+        app.parse(argc, argv);
+    } catch (CLI::ParseError const& error) {
+        return app.exit(error) == 0 ? exit_fine : exit_refused;
+    }
+    if (version->parsed()) {
+        std::cout << program_name(which) << ' ' << RADISHSPREAD_VERSION << '\n';
+        return exit_fine;
+    }
+    if (check->parsed())
+        return do_check(given, which);
+    if (explain_command->parsed())
+        return do_explain(given, which);
+    return do_run(given, which, run);
+}
+
+} // namespace radishspread::config
