--- a/packages/config/tests/rs_command_line_test.cpp
+++ b/packages/config/tests/rs_command_line_test.cpp
@@ -43,6 +43,7 @@
     int call(std::vector<std::string> args) {
         args.insert(args.begin(), "program");
         std::vector<char*> argv;
+        argv.reserve(args.size());
         for (auto& each : args)
             argv.push_back(each.data());
         captured_stream const captured_out(std::cout);
@@ -98,14 +99,13 @@
 TEST(command_line, check_of_sections_that_clash_exits_with_2) {
     auto const entries = example_path("nashama/service/entries");
     auto const orders = example_path("balkonbloei/service/orders");
+    auto shared_port = entries;
+    shared_port += ": port: expected port 7001 in one section only, also in ";
+    shared_port += orders;
     CHECK_EQUAL(2, call({"check", "--document", "service/orders=" + orders,
                        "--document", "service/entries=" + entries}));
     for (std::string const& part : {entries + ": id: expected id 1 in one",
-             entries +
-                 ": port: expected port 7001 in one section only, also "
-                 "in " +
-                 orders,
-             entries + ": backend_servers.entries-1.id: expected"})
+             shared_port, entries + ": backend_servers.entries-1.id: expected"})
         CHECK_TRUE_TEXT(err.find(part) != std::string::npos, part.c_str());
     auto args = document_arguments();
     args.insert(args.begin(), "check");
