Runtime and the two binaries: loop, sockets, HTTP/2, document, logs

Cause: the cores had no process around them.

Change: packages/runtime with one GLib loop; UDP sockets read through one epoll instance in batches of 32, round-robin, and sent with sendmmsg once per iteration; an HTTP/2 session to the backend server, and client and server between peers, on nghttp2; the configuration service client and the metrics endpoint on libsoup; numbered events through glog at a bounded rate; spans as OTLP/JSON lines; signals. packages/balancer and packages/agent hold one main each.

Ruled out: one GLib source for each UDP socket, since polling would then cost more with each service; opentracing (docs/decisions/002-traces.md). The agent's settings hold names, while the agent core needs numbers, so the runtime runs the document alone until it has them (rs_late_agent.hpp).

--- /dev/null
+++ b/packages/runtime/include/radishspread/runtime/internal/rs_peer_server_connection.hpp
@@ -0,0 +1,60 @@
+#ifndef RADISHSPREAD_RUNTIME_INTERNAL_RS_PEER_SERVER_CONNECTION_HPP
+#define RADISHSPREAD_RUNTIME_INTERNAL_RS_PEER_SERVER_CONNECTION_HPP
+
+#include <radishspread/runtime/rs_http2_transport.hpp>
+#include <radishspread/runtime/rs_peer_server.hpp>
+
+#include <string>
+#include <unordered_map>
+
+namespace radishspread::runtime {
+
+/// One accepted connection of a peer.
+class peer_server_connection {
+public:
+    peer_server_connection(unique_fd fd, endpoint peer,
+        peer_server_options const& options, peer_server_source const& source,
+        instant now);
+
+    /// Returns why the connection is to be dropped, or an empty text.
+    [[nodiscard]] std::string_view check(instant now);
+    void flush();
+
+    [[nodiscard]] bool is_closed() const { return is_closed_; }
+    [[nodiscard]] endpoint peer() const { return peer_; }
+
+private:
+    struct stream {
+        std::string method;
+        std::string path;
+        std::size_t header_size = 0;
+        section_ptr source; ///< Keeps the section alive while it is sent.
+        std::string text;   ///< Body that is not a section's text.
+        std::string_view body;
+        std::size_t position = 0;
+    };
+    struct response {
+        std::string_view status = "404";
+        revision held = 0;
+        std::string tag;
+    };
+    friend struct peer_server_callbacks;
+
+    [[nodiscard]] http2_session_ptr make_session();
+    void respond(std::int32_t stream_id);
+    [[nodiscard]] response fill(stream& it) const;
+    void fill_section(stream& it, std::string const& name, response& out) const;
+    void fill_index(stream& it, response& out) const;
+
+    endpoint peer_;
+    peer_server_options const& options_;
+    peer_server_source const& source_;
+    progress_guard guard_;
+    std::unordered_map<std::int32_t, stream> streams_;
+    std::unique_ptr<http2_transport> transport_;
+    bool is_closed_ = false;
+};
+
+} // namespace radishspread::runtime
+
+#endif
--- /dev/null
+++ b/packages/runtime/include/radishspread/runtime/rs_clock.hpp
@@ -0,0 +1,18 @@
+#ifndef RADISHSPREAD_RUNTIME_RS_CLOCK_HPP
+#define RADISHSPREAD_RUNTIME_RS_CLOCK_HPP
+
+#include <radishspread/core/rs_time.hpp>
+
+#include <cstdint>
+
+namespace radishspread::runtime {
+
+/// CLOCK_MONOTONIC, which goes on while the process is stopped.
+[[nodiscard]] instant monotonic_now();
+
+/// Nanoseconds since 1970 (CLOCK_REALTIME), for traces.
+[[nodiscard]] std::uint64_t wall_nanoseconds();
+
+} // namespace radishspread::runtime
+
+#endif
--- /dev/null
+++ b/packages/runtime/include/radishspread/runtime/rs_http2_transport.hpp
@@ -0,0 +1,78 @@
+#ifndef RADISHSPREAD_RUNTIME_RS_HTTP2_TRANSPORT_HPP
+#define RADISHSPREAD_RUNTIME_RS_HTTP2_TRANSPORT_HPP
+
+#include <radishspread/core/rs_endpoint.hpp>
+#include <radishspread/core/rs_time.hpp>
+#include <radishspread/runtime/rs_fd_watch.hpp>
+#include <radishspread/runtime/rs_unique_fd.hpp>
+
+#include <nghttp2/nghttp2.h>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <system_error>
+#include <vector>
+
+namespace radishspread::runtime {
+
+/// Deleter for nghttp2 sessions.
+struct http2_session_deleter {
+    void operator()(nghttp2_session* it) const { nghttp2_session_del(it); }
+};
+using http2_session_ptr =
+    std::unique_ptr<nghttp2_session, http2_session_deleter>;
+
+/// Carries an nghttp2 session over a non-blocking TCP connection.
+///
+/// `after_read` runs once the received bytes were given to the session, and
+/// `on_closed` once when the connection ends by itself. Either may destroy the
+/// transport.
+class http2_transport {
+public:
+    using read_call = std::function<void(std::size_t bytes)>;
+    using closed_call = std::function<void(std::error_code)>;
+
+    http2_transport(unique_fd fd, bool is_connecting, http2_session_ptr session,
+        read_call after_read, closed_call on_closed);
+
+    [[nodiscard]] nghttp2_session* session() const { return session_.get(); }
+
+    /// Writes what the session has to send, as far as the socket takes it.
+    /// Returns an error if the connection is gone; `on_closed` is not called.
+    [[nodiscard]] std::error_code flush();
+
+    /// True while bytes wait for the peer to take them.
+    [[nodiscard]] bool is_blocked() const { return !pending_.empty(); }
+
+    /// Closes the connection without a call.
+    void close();
+    [[nodiscard]] bool is_closed() const { return !fd_; }
+
+private:
+    void handle_ready(GIOCondition ready);
+    [[nodiscard]] std::error_code finish_connect();
+    void read();
+    [[nodiscard]] std::error_code write_pending();
+    [[nodiscard]] std::error_code fill_pending();
+    void end(std::error_code ec);
+
+    unique_fd fd_;
+    bool is_connecting_;
+    http2_session_ptr session_;
+    read_call after_read_;
+    closed_call on_closed_;
+    std::vector<std::uint8_t> pending_;
+    fd_watch watch_;
+};
+
+/// Opens a non-blocking TCP connection to `to`; it may still be in progress.
+[[nodiscard]] unique_fd start_connect(endpoint to, std::error_code& ec);
+
+/// Name-value pair whose views must outlive the call that takes it.
+[[nodiscard]] nghttp2_nv make_header(
+    std::string_view name, std::string_view value);
+
+} // namespace radishspread::runtime
+
+#endif
--- /dev/null
+++ b/packages/runtime/include/radishspread/runtime/rs_process.hpp
@@ -0,0 +1,103 @@
+#ifndef RADISHSPREAD_RUNTIME_RS_PROCESS_HPP
+#define RADISHSPREAD_RUNTIME_RS_PROCESS_HPP
+
+#include <radishspread/config/rs_settings.hpp>
+#include <radishspread/core/rs_log_event.hpp>
+#include <radishspread/runtime/rs_driver.hpp>
+#include <radishspread/runtime/rs_event_log.hpp>
+#include <radishspread/runtime/rs_loop.hpp>
+#include <radishspread/runtime/rs_make_event.hpp>
+#include <radishspread/runtime/rs_metrics_server.hpp>
+#include <radishspread/runtime/rs_peer_server.hpp>
+#include <radishspread/runtime/rs_process_metrics.hpp>
+#include <radishspread/runtime/rs_section_reader.hpp>
+#include <radishspread/runtime/rs_settings_change.hpp>
+#include <radishspread/runtime/rs_step_error.hpp>
+#include <radishspread/runtime/rs_tracer.hpp>
+#include <radishspread/wire/rs_codec.hpp>
+
+#include <optional>
+#include <span>
+#include <string>
+
+namespace radishspread::runtime {
+
+/// Everything that both binaries share: the loop, the sockets, the clients and
+/// servers, the log, metrics and traces.
+class process {
+public:
+    /// `file` is the settings file, read again on SIGHUP.
+    process(config::settings settings, std::string file);
+    ~process();
+    process(process const&) = delete;
+    process& operator=(process const&) = delete;
+
+    /// Opens the ports, starts the core and runs until it has stopped. Returns
+    /// the exit status: 0 after a graceful shutdown, 1 if a port could not be
+    /// opened or requests were cut.
+    [[nodiscard]] int run(driver& core);
+
+    /// To be called first by whatever the loop wakes up. Reads the clock and
+    /// lets the core detect a pause. Returns false if what woke the process
+    /// was received before a pause, and must not be used.
+    [[nodiscard]] bool enter();
+
+    [[nodiscard]] instant now() const { return now_; }
+    [[nodiscard]] config::settings const& settings() const { return settings_; }
+    [[nodiscard]] datagram_sockets& sockets() { return sockets_; }
+    [[nodiscard]] wire::encoder& encoder() { return encoder_; }
+    [[nodiscard]] section_reader& sections() { return *sections_; }
+    [[nodiscard]] process_metrics& counters() { return metrics_; }
+    [[nodiscard]] tracer& traces() { return tracer_; }
+    [[nodiscard]] endpoint self() const;
+
+    void log(log_event const& event) { log_.write(now_, event); }
+    void add_events(std::span<event_description const> catalogue) {
+        log_.add(catalogue);
+    }
+
+    /// Discards everything that was received and not processed.
+    void discard_queued();
+
+private:
+    [[nodiscard]] bool open_ports();
+    [[nodiscard]] bool open_metrics();
+    void make_clients();
+    void add_gauges();
+    void add_timers();
+    void flush();
+    void tick();
+    void begin_stop();
+    void end(bool is_cut);
+    void reread();
+    void apply(config::settings next);
+    void open_trace();
+    void report(std::uint16_t number, step_error const& error);
+
+    config::settings settings_;
+    std::string file_;
+    instant now_;
+    instant last_tick_;
+    instant last_drop_report_;
+    std::uint64_t reported_drops_ = 0;
+    std::optional<instant> stop_at_;
+    std::uint64_t discards_ = 0;
+    int status_ = 0;
+    driver* core_ = nullptr;
+    loop loop_;
+    event_log log_;
+    process_metrics metrics_;
+    tracer tracer_;
+    datagram_sockets sockets_;
+    wire::encoder encoder_;
+    std::optional<section_reader> sections_;
+    std::optional<peer_server> peer_server_;
+    std::optional<metrics_server> metrics_server_;
+};
+
+/// Random 64-bit number, for incarnations and seeds.
+[[nodiscard]] std::uint64_t random_number();
+
+} // namespace radishspread::runtime
+
+#endif
--- /dev/null
+++ b/packages/runtime/include/radishspread/runtime/rs_section_reader.hpp
@@ -0,0 +1,66 @@
+#ifndef RADISHSPREAD_RUNTIME_RS_SECTION_READER_HPP
+#define RADISHSPREAD_RUNTIME_RS_SECTION_READER_HPP
+
+#include <radishspread/core/rs_fleet_key.hpp>
+#include <radishspread/core/rs_log_event.hpp>
+#include <radishspread/runtime/rs_configuration_client.hpp>
+#include <radishspread/runtime/rs_document_listener.hpp>
+#include <radishspread/runtime/rs_peer_client.hpp>
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace radishspread::runtime {
+
+/// Settings of the section reader.
+struct section_reader_options {
+    fleet_key key;
+    configuration_client_options configuration;
+    peer_client_options peers;
+};
+
+/// Reads sections, watches and indexes, parses them, and turns them into
+/// events of the document.
+class section_reader {
+public:
+    using log_call = std::function<void(log_event const&)>;
+
+    section_reader(section_reader_options options, document_listener& listener,
+        log_call log);
+
+    void read(instant now, std::string_view name);
+    void watch(instant now, std::uint64_t after);
+    void pull_section(instant now, endpoint peer, std::string_view name);
+    void pull_index(instant now, endpoint peer);
+
+    void tick(instant now);
+    void flush();
+
+    /// Gives up everything outstanding, without events.
+    void reset();
+
+private:
+    void finish_read(
+        std::string const& name, endpoint peer, section_response const& it);
+    void finish_watch(section_response const& it);
+    void finish_index(endpoint peer, section_response const& it);
+    void parse(
+        std::string const& name, endpoint peer, section_response const& it);
+    void pass_on_list(
+        endpoint peer, std::string_view body, char const* list_key);
+    void report(std::uint16_t number, endpoint peer, std::string_view name,
+        section_response const& it);
+    [[nodiscard]] bool is_tag_right(
+        std::string_view name, endpoint peer, section_response const& it);
+
+    section_reader_options options_;
+    document_listener& listener_;
+    log_call log_;
+    configuration_client configuration_;
+    peer_client peers_;
+};
+
+} // namespace radishspread::runtime
+
+#endif
--- /dev/null
+++ b/packages/runtime/include/radishspread/runtime/rs_section_response.hpp
@@ -0,0 +1,29 @@
+#ifndef RADISHSPREAD_RUNTIME_RS_SECTION_RESPONSE_HPP
+#define RADISHSPREAD_RUNTIME_RS_SECTION_RESPONSE_HPP
+
+#include <radishspread/core/rs_ids.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <system_error>
+
+namespace radishspread::runtime {
+
+/// Response of the configuration service or of a peer.
+struct section_response {
+    std::error_code code; ///< Set if there was no complete response.
+    std::uint16_t status = 0;
+    revision held = 0; ///< Header `x-revision`.
+    std::string tag;   ///< Header `x-tag`; peers only.
+    std::string body;
+
+    [[nodiscard]] bool is_ok() const { return !code && status == 200; }
+};
+
+/// Called once with the response.
+using response_call = std::function<void(section_response)>;
+
+} // namespace radishspread::runtime
+
+#endif
--- /dev/null
+++ b/packages/runtime/include/radishspread/runtime/rs_trace_text.hpp
@@ -0,0 +1,26 @@
+#ifndef RADISHSPREAD_RUNTIME_RS_TRACE_TEXT_HPP
+#define RADISHSPREAD_RUNTIME_RS_TRACE_TEXT_HPP
+
+#include <radishspread/core/rs_trace_context.hpp>
+
+#include <string>
+
+namespace radishspread::runtime {
+
+/// Value of the W3C header `traceparent`.
+[[nodiscard]] std::string traceparent(trace_context const& it);
+
+/// 32 hex digits.
+[[nodiscard]] std::string trace_id_text(trace_context const& it);
+
+/// 16 hex digits.
+[[nodiscard]] std::string span_id_text(std::uint64_t id);
+
+/// True if the packet's sender asked for a trace and named one.
+[[nodiscard]] inline bool is_sampled(trace_context const& it) {
+    return (it.flags & 1U) != 0 && (it.trace_high | it.trace_low) != 0;
+}
+
+} // namespace radishspread::runtime
+
+#endif
--- /dev/null
+++ b/packages/runtime/src/rs_loop.cpp
@@ -0,0 +1,95 @@
+#include <radishspread/runtime/rs_loop.hpp>
+
+#include <glib-unix.h>
+
+namespace radishspread::runtime {
+
+namespace {
+
+using callback = std::function<void()>;
+
+struct poll_source {
+    GSource base;
+    callback* call;
+};
+
+gboolean prepare(GSource* source, gint* timeout) {
+    *timeout = -1;
+    (*reinterpret_cast<poll_source*>(source)->call)();
+    return FALSE;
+}
+
+gboolean ignore_dispatch(GSource*, GSourceFunc, gpointer) {
+    return G_SOURCE_CONTINUE;
+}
+
+void finalize(GSource* source) {
+    delete reinterpret_cast<poll_source*>(source)->call;
+}
+
+GSourceFuncs functions{
+    prepare, nullptr, ignore_dispatch, finalize, nullptr, nullptr};
+
+gboolean call_back(gpointer data) {
+    (*static_cast<callback*>(data))();
+    return G_SOURCE_CONTINUE;
+}
+
+void destroy_callback(gpointer data) {
+    delete static_cast<callback*>(data);
+}
+
+GSource* attach(GSource* source, callback call) {
+    g_source_set_callback(
+        source, call_back, new callback(std::move(call)), destroy_callback);
+    g_source_attach(source, nullptr);
+    return source;
+}
+
+} // namespace
+
+loop::loop() : loop_(g_main_loop_new(nullptr, FALSE)) {}
+
+loop::~loop() {
+    for (auto* it : sources_) {
+        g_source_destroy(it);
+        g_source_unref(it);
+    }
+    g_main_loop_unref(loop_);
+}
+
+void loop::before_poll(std::function<void()> call) {
+    auto* source = g_source_new(&functions, sizeof(poll_source));
+    reinterpret_cast<poll_source*>(source)->call =
+        new callback(std::move(call));
+    // First in order, so that it runs even if other sources are ready.
+    g_source_set_priority(source, G_PRIORITY_HIGH);
+    g_source_attach(source, nullptr);
+    sources_.push_back(source);
+}
+
+void loop::every(duration interval, std::function<void()> call) {
+    auto const ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(interval);
+    auto* source = g_timeout_source_new(static_cast<guint>(ms.count()));
+    sources_.push_back(attach(source, std::move(call)));
+}
+
+void loop::on_signal(int number, std::function<void()> call) {
+    auto* source = g_unix_signal_source_new(number);
+    sources_.push_back(attach(source, std::move(call)));
+}
+
+void loop::run() {
+    g_main_loop_run(loop_);
+}
+
+void loop::quit() {
+    g_main_loop_quit(loop_);
+}
+
+void loop::iterate() {
+    g_main_context_iteration(nullptr, TRUE);
+}
+
+} // namespace radishspread::runtime
--- /dev/null
+++ b/packages/runtime/src/rs_peer_client.cpp
@@ -0,0 +1,62 @@
+#include <radishspread/runtime/rs_peer_client.hpp>
+
+namespace radishspread::runtime {
+
+peer_client::peer_client(peer_client_options options) : options_(options) {}
+
+void peer_client::get(
+    instant now, endpoint peer, std::string path, response_call call) {
+    auto found = connections_.find(peer);
+    if (found != connections_.end() && found->second->is_closed()) {
+        retired_.push_back(std::move(found->second));
+        connections_.erase(found);
+        found = connections_.end();
+    }
+    bool const is_known = found != connections_.end();
+    bool const is_full =
+        is_known ? found->second->outstanding() >= options_.max_requests
+                 : connections_.size() >= options_.max_connections;
+    if (is_full) {
+        rejected_.push_back(std::move(call));
+        return;
+    }
+    auto& it = connections_[peer];
+    if (it == nullptr)
+        it = std::make_unique<peer_connection>(peer, options_.progress, now);
+    it->get(now, std::move(path), std::move(call));
+}
+
+void peer_client::tick(instant now) {
+    for (auto& [peer, it] : connections_)
+        if (!it->is_closed())
+            it->tick(now);
+}
+
+void peer_client::flush() {
+    retired_.clear();
+    std::vector<peer_connection*> open;
+    for (auto& [peer, it] : connections_)
+        open.push_back(it.get());
+    // A call may start requests, which changes the map, but connections that
+    // it retires live on until the next flush.
+    for (auto* it : open)
+        it->flush();
+    std::erase_if(
+        connections_, [](auto const& it) { return it.second->is_closed(); });
+    section_response failed;
+    failed.code = std::make_error_code(std::errc::no_buffer_space);
+    auto const batch = std::exchange(rejected_, {});
+    for (auto const& call : batch)
+        call(failed);
+}
+
+void peer_client::reset() {
+    rejected_.clear();
+    for (auto& [peer, it] : connections_) {
+        it->abandon();
+        retired_.push_back(std::move(it));
+    }
+    connections_.clear();
+}
+
+} // namespace radishspread::runtime
--- /dev/null
+++ b/packages/runtime/src/rs_step_error.cpp
@@ -0,0 +1,20 @@
+#include <radishspread/runtime/rs_step_error.hpp>
+
+#include <cerrno>
+
+namespace radishspread::runtime {
+
+std::string to_string(step_error const& it) {
+    std::string out = it.code.message();
+    out += " (step=";
+    out += radishspread::to_string(it.step);
+    if (it.peer.is_set())
+        out += ", peer=" + radishspread::to_string(it.peer);
+    return out += ')';
+}
+
+std::error_code last_system_error() {
+    return {errno, std::system_category()};
+}
+
+} // namespace radishspread::runtime
--- /dev/null
+++ b/packages/runtime/src/rs_tracer.cpp
@@ -0,0 +1,90 @@
+#include <radishspread/runtime/rs_step_error.hpp>
+#include <radishspread/runtime/rs_trace_text.hpp>
+#include <radishspread/runtime/rs_tracer.hpp>
+
+#include <fcntl.h>
+#include <nlohmann/json.hpp>
+
+namespace radishspread::runtime {
+
+namespace {
+
+constexpr std::uint64_t nanoseconds_per_second = 1'000'000'000;
+constexpr std::uint32_t max_spans_per_second = 1000;
+
+// `SPAN_KIND_SERVER` of OTLP: the hop handles a packet that was received.
+constexpr int server_kind = 2;
+
+using json = nlohmann::json;
+
+json attribute(std::string_view key, std::string_view value) {
+    return {{"key", key}, {"value", {{"stringValue", value}}}};
+}
+
+} // namespace
+
+tracer::tracer(std::string process, std::uint64_t seed)
+    : process_(std::move(process)), random_(seed) {}
+
+std::error_code tracer::open(std::string const& file) {
+    file_ = unique_fd();
+    if (file.empty())
+        return {};
+    constexpr int mode = 0640;
+    file_ = unique_fd(
+        ::open(file.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, mode));
+    return file_ ? std::error_code() : last_system_error();
+}
+
+std::uint64_t tracer::next_id() {
+    // All zeros is not a valid span id.
+    return random_() | 1U;
+}
+
+void tracer::write(trace_span const& span) {
+    if (!file_)
+        return;
+    auto const second = span.end / nanoseconds_per_second;
+    if (second != second_) {
+        second_ = second;
+        written_ = 0;
+    }
+    if (++written_ > max_spans_per_second) {
+        ++dropped_;
+        return;
+    }
+    auto const text = line(span) + '\n';
+    if (::write(file_.get(), text.data(), text.size()) < 0)
+        ++dropped_;
+}
+
+std::string tracer::line(trace_span const& span) const {
+    json attributes = json::array();
+    attributes.push_back(
+        attribute("radishspread.service", std::to_string(span.service)));
+    if (span.request != 0)
+        attributes.push_back(
+            attribute("radishspread.request", std::to_string(span.request)));
+    if (span.peer.is_set())
+        attributes.push_back(
+            attribute("network.peer.address", to_string(span.peer)));
+    if (!span.result.empty())
+        attributes.push_back(attribute("radishspread.result", span.result));
+    json const record{{"traceId", trace_id_text(span.context)},
+        {"spanId", span_id_text(span.id)},
+        {"parentSpanId", span_id_text(span.context.parent)},
+        {"name", span.name}, {"kind", server_kind},
+        {"startTimeUnixNano", std::to_string(span.begin)},
+        {"endTimeUnixNano", std::to_string(span.end)},
+        {"attributes", std::move(attributes)}};
+    json const resource{
+        {"attributes", json::array({attribute("service.name", process_)})}};
+    json const scope{{"scope", {{"name", "radishspread"}}},
+        {"spans", json::array({record})}};
+    json const whole{
+        {"resourceSpans", json::array({json{{"resource", resource},
+                              {"scopeSpans", json::array({scope})}}})}};
+    return whole.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+} // namespace radishspread::runtime
--- /dev/null
+++ b/packages/runtime/tests/rs_metrics_test.cpp
@@ -0,0 +1,34 @@
+#include <radishspread/runtime/rs_metrics.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace radishspread::runtime;
+
+TEST_GROUP(metrics_text){};
+
+// A scraper rejects the whole page if one line has the wrong form.
+TEST(metrics_text, counters_gauges_and_quantiles_are_in_the_text_format) {
+    metrics all;
+    all.add_counter("a_total", "Packets.", "kind=\"open\"").add(3);
+    all.add_counter("a_total", "Packets.", "kind=\"close\"");
+    all.add_gauge("b", "Level.", [] { return 1.5; });
+    auto& samples = all.add_distribution("c_seconds", "Times.");
+    for (int n = 0; n < 1000; ++n)
+        samples.add(0.25);
+    CHECK_EQUAL(std::string("# HELP a_total Packets.\n"
+                            "# TYPE a_total counter\n"
+                            "a_total{kind=\"close\"} 0\n"
+                            "a_total{kind=\"open\"} 3\n"
+                            "# HELP b Level.\n"
+                            "# TYPE b gauge\n"
+                            "b 1.5\n"
+                            "# HELP c_seconds Times.\n"
+                            "# TYPE c_seconds summary\n"
+                            "c_seconds{quantile=\"0.5\"} 0.25\n"
+                            "c_seconds{quantile=\"0.9\"} 0.25\n"
+                            "c_seconds{quantile=\"0.99\"} 0.25\n"
+                            "c_seconds{quantile=\"0.999\"} 0.25\n"
+                            "c_seconds_sum 250\n"
+                            "c_seconds_count 1000\n"),
+        all.text());
+}
--- /dev/null
+++ b/packages/runtime/tests/rs_peer_server_test.cpp
@@ -0,0 +1,140 @@
+#include "rs_http2_test_server.hpp"
+
+#include <radishspread/runtime/rs_peer_client.hpp>
+#include <radishspread/runtime/rs_peer_server.hpp>
+#include <radishspread/runtime/rs_section_tag.hpp>
+
+#include <optional>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace radishspread;
+using namespace radishspread::runtime;
+
+TEST_GROUP(peer_server) {
+    std::vector<std::string> dropped;
+    std::shared_ptr<section> held = std::make_shared<section>();
+    peer_server_options options;
+    std::unique_ptr<peer_server> server;
+    peer_client client;
+    endpoint at;
+
+    void setup() override {
+        held->name = "service/kit-portal";
+        held->held = 9;
+        held->text = std::string(200'000, 's');
+        // Short, so that the tests need not wait for seconds.
+        options.progress = {.silence = std::chrono::milliseconds(40),
+            .stream_limit = std::chrono::milliseconds(400),
+            .idle_limit = std::chrono::milliseconds(150)};
+    }
+
+    void listen() {
+        server = std::make_unique<peer_server>(
+            options, peer_server_source{.find =
+                                            [this](std::string_view name) {
+                                                return name == held->name
+                                                           ? held
+                                                           : section_ptr();
+                                            },
+                         .index = [] { return std::vector<digest_entry>(); },
+                         .log =
+                             [this](log_event const& it) {
+                                 dropped.emplace_back(it.text);
+                             }});
+        CHECK_FALSE(server->listen({.address = INADDR_LOOPBACK, .port = 0}));
+        at = {.address = INADDR_LOOPBACK, .port = server->port()};
+    }
+
+    unique_fd connect_raw() {
+        std::error_code ec;
+        auto fd = start_connect(at, ec);
+        CHECK_TRUE(run_until([this] { return server->connections() > 0; }));
+        return fd;
+    }
+
+    bool run_until(std::function<bool()> const& done) {
+        return test::run_until([&] {
+            auto const now = monotonic_now();
+            client.tick(now);
+            server->tick(now);
+            client.flush();
+            server->flush();
+            return done();
+        });
+    }
+
+    bool is_dropped(std::string const& why) {
+        run_until([this] { return server->connections() == 0; });
+        return server->connections() == 0 && dropped.size() == 1 &&
+               dropped.front() == why;
+    }
+
+    section_response get(std::string const& path) {
+        std::optional<section_response> out;
+        client.get(monotonic_now(), at, path,
+            [&](section_response it) { out = std::move(it); });
+        CHECK_TRUE(run_until([&] { return out.has_value(); }));
+        return out.value_or(section_response());
+    }
+};
+
+// A cut or altered section would be put into effect by the peer.
+TEST(peer_server, section_arrives_whole_with_revision_and_tag) {
+    listen();
+    auto const it = get("/v1/sections/service/kit-portal");
+    CHECK_TRUE(it.is_ok());
+    CHECK_EQUAL(9U, it.held);
+    CHECK_TRUE(it.body == held->text);
+    CHECK_TRUE(it.tag == section_tag({}, held->name, 9, it.body));
+    CHECK_FALSE(it.tag == section_tag({}, held->name, 10, it.body));
+    CHECK_EQUAL(404U, get("/v1/sections/service/other").status);
+}
+
+// Connections that never say anything would use up the server's bound.
+TEST(peer_server, half_open_connection_is_dropped) {
+    listen();
+    auto const fd = connect_raw();
+    CHECK_TRUE(is_dropped("idle"));
+}
+
+// A peer that asks for a section and then stops reading holds its memory.
+TEST(peer_server, peer_that_stops_reading_is_dropped) {
+    held->text = std::string(max_section_size, 's');
+    listen();
+    auto const fd = connect_raw();
+    std::string sent = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+    sent.append("\0\0\0\4\0\0\0\0\0", 9);
+    // HEADERS of stream 1, END_STREAM and END_HEADERS; indexed `:method GET`
+    // and `:scheme http`, literal `:path` and `:authority`.
+    std::string const path = "/v1/sections/service/kit-portal";
+    std::string block = "\x82\x86\x04";
+    block += static_cast<char>(path.size()) + path + "\x01\x01x";
+    sent.append("\0\0", 2);
+    sent += static_cast<char>(block.size());
+    sent.append("\1\5\0\0\0\1", 6);
+    sent += block;
+    CHECK_EQUAL(static_cast<ssize_t>(sent.size()),
+        write(fd.get(), sent.data(), sent.size()));
+    CHECK_TRUE(is_dropped("no progress"));
+}
+
+// More connections than the bound would take memory without limit.
+TEST(peer_server, connection_above_the_bound_is_refused) {
+    options.max_connections = 1;
+    listen();
+    auto const first = connect_raw();
+    std::error_code ec;
+    auto const second = start_connect(at, ec);
+    run_until([this] { return !dropped.empty(); });
+    CHECK_EQUAL(1U, server->connections());
+}
+
+// A silent peer must not hold up the read, which has other sources.
+TEST(peer_server, read_from_a_silent_peer_fails) {
+    listen();
+    test::http2_test_server silent;
+    at = silent.at();
+    auto const it = get("/v1/index");
+    CHECK_TRUE(it.code == std::errc::timed_out);
+}
