Stand-ins for the platform, demo and process tests

Cause: the binaries need a platform to run against: fabric, configuration service, backend servers and callers, all on loopback. Ruled out: separate programs for each part. One GLib loop hosts them all, so that one ledger sees every run of a request. Change: tests/standins (library), tests/demo, tests/process, scripts/demo. Conclusion: demo and process tests have not run yet.

--- /dev/null
+++ b/tests/process/rs_process_test.cpp
@@ -0,0 +1,193 @@
+#include <radishspread/runtime/rs_fd_watch.hpp>
+#include <radishspread/wire/rs_codec.hpp>
+
+#include <standins/rs_loop.hpp>
+#include <standins/rs_test_fleet.hpp>
+
+#include <sys/socket.h>
+
+#include <array>
+#include <csignal>
+#include <span>
+#include <string>
+#include <variant>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace radishspread;
+using namespace radishspread::standins;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t long_flows = 60;
+/// Only ends a run that failed; no result depends on it.
+constexpr duration patience = 60s;
+
+deployment_plan small_plan() {
+    return {"small", "nl-west", {{"kit-portal", 3, 7, 10, 4096, 0.5}}, 2};
+}
+
+/// Takes the place of an agent that has ended and counts the openings that
+/// balancers still send there.
+class agent_probe {
+public:
+    agent_probe(endpoint agent, fleet_key key)
+        : key_(key), fd_(bind_udp(agent.address, agent.port)),
+          watch_(fd_.get(), G_IO_IN, [this](GIOCondition) { receive(); }) {}
+
+    [[nodiscard]] std::size_t openings() const { return openings_; }
+
+private:
+    void receive() {
+        std::array<std::byte, 2048> buf; // NOLINT: filled by recv
+        auto const size = recv(fd_.get(), buf.data(), buf.size(), 0);
+        if (size < 0)
+            return;
+        wire::peer_message message;
+        auto const data = std::span(buf).first(static_cast<std::size_t>(size));
+        if (wire::decode(key_, data, message))
+            return;
+        auto const* const packet = std::get_if<forward>(&message);
+        if (packet != nullptr && packet->packet.kind == packet_kind::open)
+            ++openings_;
+    }
+
+    fleet_key key_;
+    unique_fd fd_;
+    runtime::fd_watch watch_;
+    std::size_t openings_ = 0;
+};
+
+} // namespace
+
+TEST_GROUP(process) {
+    test_fleet fleet{small_plan()};
+
+    void start() {
+        fleet.start(long_flows, 500ms, 20);
+        CHECK_TRUE_TEXT(
+            run_until(
+                [&] { return fleet.callers().open_flows() == long_flows; },
+                patience),
+            "the long flows were not opened");
+        answered();
+    }
+
+    void answered() {
+        CHECK_TRUE_TEXT(fleet.wait_until_all_answered(patience),
+            "a long flow was not answered");
+    }
+
+    /// Takes the failure domain out and waits until its flows have left it.
+    void take_out(domain_id domain) {
+        fleet.set_domain_out(domain, true);
+        CHECK_TRUE_TEXT(
+            run_until([&] { return fleet.callers().flows_in(domain) == 0; },
+                patience),
+            "flows stayed in a failure domain that is out");
+    }
+
+    void promises_hold() {
+        STRCMP_EQUAL("", fleet.violations().c_str());
+    }
+};
+
+// A request of the lost flows must neither run again at another agent nor be
+// reported as not run.
+TEST(process, killed_agent_loses_only_its_own_flows) {
+    start();
+    fleet.kill_agent(0);
+    answered();
+    CHECK_EQUAL(0U, fleet.callers().flows_at(fleet.entry(0).agent));
+    promises_hold();
+}
+
+// Routing that depends on a balancer's own state would break its flows.
+TEST(process, killed_balancer_breaks_no_flow) {
+    start();
+    fleet.kill_balancer(0);
+    answered();
+    CHECK_EQUAL(0U, fleet.callers().totals().abandoned);
+    promises_hold();
+}
+
+// A paused balancer that trusts its old view on resuming would place flows in
+// a failure domain that went out meanwhile.
+TEST(process, resumed_balancer_places_nothing_in_a_domain_that_went_out) {
+    start();
+    fleet.balancer(0).signal(SIGSTOP);
+    // Longer than the limit above which a view needs a new proof.
+    run_for(2s);
+    take_out(1);
+    fleet.kill_agent(0);
+    CHECK_TRUE(run_until([&] { return fleet.agent(0).has_ended(); }, patience));
+    agent_probe probe(fleet.entry(0).agent, fleet.key());
+    fleet.balancer(0).signal(SIGCONT);
+    fleet.use_only_balancer(0);
+    answered();
+    CHECK_EQUAL(0U, probe.openings());
+    promises_hold();
+}
+
+// Without the exchange between peers, processes that cannot reach the
+// configuration service would keep the failure domain in service.
+TEST(process, edit_reaches_processes_whose_configuration_service_is_down) {
+    start();
+    fleet.replica(1).set_down(true);
+    take_out(1);
+    fleet.use_only_balancer(1);
+    auto const from = monotonic_now();
+    answered();
+    CHECK_EQUAL(0U, fleet.ledger().runs_at(fleet.entry(0).id, from));
+    promises_hold();
+}
+
+// A replica that answers with an older revision must not revert an edit.
+TEST(process, stale_replica_does_not_revert_an_edit) {
+    start();
+    fleet.replica(1).show_up_to(fleet.document().index());
+    take_out(1);
+    fleet.use_only_balancer(1);
+    auto const from = monotonic_now();
+    auto const calls = fleet.replica(1).calls();
+    answered();
+    // The replica shows an even older state once more to all its readers.
+    fleet.replica(1).set_down(true);
+    fleet.replica(1).show_up_to(fleet.document().index() - 1);
+    fleet.replica(1).set_down(false);
+    CHECK_TRUE(run_until(
+        [&] { return fleet.replica(1).calls() > calls + 2; }, patience));
+    answered();
+    CHECK_EQUAL(0U, fleet.ledger().runs_at(fleet.entry(0).id, from));
+    promises_hold();
+}
+
+// Requests would wait for ever on a connection that stays open but silent.
+TEST(process, silent_backend_connection_is_replaced) {
+    start();
+    fleet.backend(0).silence_connections();
+    auto const from = monotonic_now();
+    CHECK_TRUE_TEXT(
+        run_until(
+            [&] { return fleet.ledger().runs_at(fleet.entry(0).id, from) > 0; },
+            patience),
+        "no request ran on a new connection");
+    answered();
+    promises_hold();
+}
+
+// A planned stop that cuts requests or drops flows breaks P1 and P9.
+TEST(process, stopping_agent_hands_over_its_flows_and_cuts_no_request) {
+    start();
+    fleet.agent(0).signal(SIGTERM);
+    CHECK_TRUE_TEXT(
+        run_until([&] { return fleet.agent(0).has_ended(); }, patience),
+        "the agent did not end");
+    CHECK_EQUAL(0, fleet.agent(0).exit_status().value());
+    answered();
+    CHECK_EQUAL(0U, fleet.backend(0).cancelled());
+    CHECK_EQUAL(0U, fleet.callers().totals().unknown);
+    CHECK_EQUAL(0U, fleet.callers().totals().abandoned);
+    promises_hold();
+}
--- /dev/null
+++ b/tests/standins/rs_caller_fleet.cpp
@@ -0,0 +1,261 @@
+#include <standins/rs_caller_fleet.hpp>
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+
+namespace radishspread::standins {
+
+namespace {
+
+constexpr duration tick_interval = std::chrono::milliseconds(10);
+/// Longest run of datagrams read before other sources get their turn.
+constexpr int receive_batch = 64;
+
+} // namespace
+
+caller_fleet::caller_fleet(fabric& network, std::uint32_t address,
+    std::size_t sockets, std::uint64_t seed, excuse may_be_lost)
+    : network_(network), may_be_lost_(std::move(may_be_lost)), random_(seed),
+      encoder_(fleet_key{}) {
+    for (std::size_t n = 0; n < sockets; ++n) {
+        sockets_.push_back(bind_udp(address, 0));
+        watches_.emplace_back(sockets_.back().get(), G_IO_IN,
+            [this, n](GIOCondition) { receive(n); });
+    }
+}
+
+void caller_fleet::start(std::vector<service_traffic> traffic) {
+    traffic_ = std::move(traffic);
+    last_tick_ = monotonic_now();
+    for (auto const& it : traffic_) {
+        for (std::size_t n = 0; n < it.long_flows; ++n)
+            add_flow(it, true, last_tick_);
+    }
+    timer_ = call_every(tick_interval, [this] { tick(); });
+}
+
+caller_flow& caller_fleet::add_flow(
+    service_traffic const& traffic, bool is_long, instant now) {
+    caller_session_options options;
+    options.service = traffic.service;
+    options.flow = random_();
+    auto const socket = random_() % sockets_.size();
+    auto& flow = flows_.emplace_back(*this, options, socket, is_long);
+    live_[options.flow] = &flow;
+    owners_[options.flow] = socket;
+    flow.next_request = now + jittered(traffic.request_interval);
+    flow.open(now);
+    return flow;
+}
+
+void caller_fleet::tick() {
+    auto const now = monotonic_now();
+    if (!is_paused_)
+        start_short_flows(now);
+    last_tick_ = now;
+    std::vector<std::size_t> reopen(traffic_.size());
+    for (auto it = flows_.begin(); it != flows_.end();) {
+        auto& flow = *it;
+        flow.tick(now);
+        drive(flow, now);
+        bool const is_done = !flow.is_long() && flow.requests_left == 0 &&
+                             flow.session().outstanding() == 0;
+        if (is_done && !flow.session().is_lost())
+            flow.close(now);
+        if (!is_done && !flow.session().is_lost()) {
+            ++it;
+            continue;
+        }
+        if (flow.is_long())
+            ++reopen[static_cast<std::size_t>(
+                &traffic_of(flow) - traffic_.data())];
+        live_.erase(flow.options().flow);
+        it = flows_.erase(it);
+    }
+    // A caller whose long flow is lost opens another one.
+    for (std::size_t n = 0; n < reopen.size(); ++n) {
+        for (; reopen[n] > 0; --reopen[n])
+            add_flow(traffic_[n], true, now);
+    }
+}
+
+void caller_fleet::start_short_flows(instant now) {
+    std::chrono::duration<double> const passed = now - last_tick_;
+    for (auto const& it : traffic_) {
+        std::poisson_distribution<int> arrivals(
+            std::max(1e-9, it.short_flows_per_second * passed.count()));
+        for (auto n = arrivals(random_); n > 0; --n) {
+            auto& flow = add_flow(it, false, now);
+            flow.requests_left = 1 + random_() % 3;
+            flow.next_request = now;
+            ++totals_.short_flows;
+        }
+    }
+}
+
+void caller_fleet::drive(caller_flow& flow, instant now) {
+    if (now < flow.next_request || !flow.session().is_open() ||
+        (is_paused_ && flow.is_long()))
+        return;
+    auto const& traffic = traffic_of(flow);
+    // A long flow asks one thing at a time, so that it can be handed over.
+    if (flow.session().outstanding() > 0 ||
+        (!flow.is_long() && flow.requests_left == 0))
+        return;
+    ++totals_.requests;
+    if (!flow.request(now, make_request(traffic), traffic.deadline))
+        --totals_.requests;
+    flow.next_request = now + jittered(traffic.request_interval);
+    if (!flow.is_long()) {
+        --flow.requests_left;
+        flow.next_request = now;
+    }
+}
+
+service_traffic const& caller_fleet::traffic_of(caller_flow const& flow) const {
+    return *std::find_if(traffic_.begin(), traffic_.end(),
+        [&](auto const& it) { return it.service == flow.options().service; });
+}
+
+request_text caller_fleet::make_request(service_traffic const& traffic) {
+    std::bernoulli_distribution idempotent(traffic.idempotent_share);
+    std::uniform_int_distribution<std::uint32_t> size(
+        1, traffic.longest_answer);
+    return {++last_identity_, traffic.service, idempotent(random_),
+        size(random_), traffic.work_ms};
+}
+
+duration caller_fleet::jittered(duration mean) {
+    std::uniform_int_distribution<duration::rep> value(
+        mean.count() / 2, mean.count() * 3 / 2);
+    return duration(value(random_));
+}
+
+void caller_fleet::send(caller_flow& flow, caller_packet const& packet) {
+    network_.send(sockets_[flow.socket()].get(), traffic_of(flow).port,
+        encoder_.encode(packet));
+}
+
+void caller_fleet::finished(caller_flow& flow, request_text const& asked,
+    finished_request const& result) {
+    if (result.result == request_result::not_run) {
+        ++totals_.not_run;
+        told_not_run_.push_back(asked.identity);
+        return;
+    }
+    if (result.result == request_result::unknown) {
+        ++totals_.unknown;
+        return;
+    }
+    ++totals_.answered;
+    flow.last_answer = monotonic_now();
+    if (result.status != 200) {
+        ++totals_.failed;
+        return;
+    }
+    auto const right = make_answer(asked);
+    auto const bytes = std::as_bytes(std::span(right));
+    if (answer_identity(result.body) != asked.identity)
+        ++totals_.wrong_caller;
+    else if (!std::equal(bytes.begin(), bytes.end(), result.body.begin(),
+                 result.body.end()))
+        ++totals_.incomplete;
+}
+
+void caller_fleet::lost(caller_flow& flow, reason /*why*/) {
+    if (!flow.cookie())
+        ++totals_.unopened;
+    else if (may_be_lost_(*flow.cookie()))
+        ++totals_.abandoned;
+    else
+        ++totals_.broken;
+}
+
+void caller_fleet::receive(std::size_t socket) {
+    std::array<std::byte, 2048> buf; // NOLINT: filled by recvfrom
+    for (int n = 0; n < receive_batch; ++n) {
+        sockaddr_in from{};
+        socklen_t length = sizeof from;
+        auto const size = recvfrom(sockets_[socket].get(), buf.data(),
+            buf.size(), 0, reinterpret_cast<sockaddr*>(&from), &length);
+        if (size < 0)
+            return;
+        caller_reply reply;
+        auto const data = std::span(buf).first(static_cast<std::size_t>(size));
+        if (!wire::decode(data, reply) && !network_.loses())
+            take(socket, to_endpoint(from), reply);
+    }
+}
+
+void caller_fleet::take(
+    std::size_t socket, endpoint from, caller_reply const& reply) {
+    auto const owner = owners_.find(reply.flow);
+    if (owner == owners_.end() || owner->second != socket) {
+        ++totals_.wrong_caller;
+        return;
+    }
+    auto const it = live_.find(reply.flow);
+    if (it == live_.end())
+        return;
+    auto& flow = *it->second;
+    // Callers take replies from the address of their own service only.
+    if (reply.service != flow.options().service ||
+        from.port != traffic_of(flow).port) {
+        ++totals_.wrong_caller;
+        return;
+    }
+    bool const was_open = flow.session().is_open();
+    flow.handle(monotonic_now(), reply);
+    if (!was_open && flow.session().is_open() && flow.is_long())
+        ++totals_.long_flows;
+}
+
+std::size_t caller_fleet::outstanding() const {
+    std::size_t n = 0;
+    for (auto const& flow : flows_)
+        n += flow.session().outstanding();
+    return n;
+}
+
+std::size_t caller_fleet::open_flows() const {
+    return static_cast<std::size_t>(
+        std::count_if(flows_.begin(), flows_.end(), [](auto const& flow) {
+            return flow.is_long() && flow.session().is_open();
+        }));
+}
+
+std::size_t caller_fleet::silent_flows(instant from) const {
+    return static_cast<std::size_t>(
+        std::count_if(flows_.begin(), flows_.end(), [&](auto const& flow) {
+            return flow.is_long() && flow.last_answer < from;
+        }));
+}
+
+void caller_fleet::judge_silent_flows(instant from) {
+    totals_.broken += silent_flows(from);
+}
+
+std::size_t caller_fleet::false_refusals(run_ledger const& ledger) const {
+    return static_cast<std::size_t>(std::count_if(told_not_run_.begin(),
+        told_not_run_.end(), [&](auto id) { return ledger.runs_of(id) > 0; }));
+}
+
+std::size_t caller_fleet::flows_at(endpoint agent) const {
+    return static_cast<std::size_t>(
+        std::count_if(flows_.begin(), flows_.end(), [&](auto const& flow) {
+            return flow.is_long() && flow.session().is_open() &&
+                   flow.cookie()->agent == agent;
+        }));
+}
+
+std::size_t caller_fleet::flows_in(domain_id domain) const {
+    return static_cast<std::size_t>(
+        std::count_if(flows_.begin(), flows_.end(), [&](auto const& flow) {
+            return flow.is_long() && flow.session().is_open() &&
+                   flow.cookie()->domain == domain;
+        }));
+}
+
+} // namespace radishspread::standins
--- /dev/null
+++ b/tests/standins/rs_caller_fleet.hpp
@@ -0,0 +1,104 @@
+#ifndef RADISHSPREAD_TESTS_STANDINS_RS_CALLER_FLEET_HPP
+#define RADISHSPREAD_TESTS_STANDINS_RS_CALLER_FLEET_HPP
+
+#include <radishspread/runtime/rs_fd_watch.hpp>
+#include <radishspread/wire/rs_codec.hpp>
+
+#include <standins/rs_caller_flow.hpp>
+#include <standins/rs_fabric.hpp>
+#include <standins/rs_loop.hpp>
+#include <standins/rs_run_ledger.hpp>
+#include <standins/rs_socket.hpp>
+#include <standins/rs_traffic_totals.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+namespace radishspread::standins {
+
+/// Traffic towards one service.
+struct service_traffic {
+    service_id service = 0;
+    std::uint16_t port = 0;
+    std::size_t long_flows = 0;
+    double short_flows_per_second = 0;
+    duration request_interval = std::chrono::seconds(2); ///< Of a long flow.
+    std::uint32_t work_ms = 10;
+    std::uint32_t longest_answer = 4096; ///< Bytes.
+    double idempotent_share = 0.5;
+    duration deadline = std::chrono::seconds(5);
+};
+
+/// Many callers behind a few UDP sockets. Each answer is compared with the only
+/// right answer to the request.
+class caller_fleet : public flow_owner {
+public:
+    /// True if a flow with this cookie may be lost.
+    using excuse = std::function<bool(route_cookie const&)>;
+
+    caller_fleet(fabric& network, std::uint32_t address, std::size_t sockets,
+        std::uint64_t seed, excuse may_be_lost);
+
+    /// Opens the long flows and starts the load.
+    void start(std::vector<service_traffic> traffic);
+    /// No new short flows and requests; what is under way goes on.
+    void pause_load(bool paused) { is_paused_ = paused; }
+
+    [[nodiscard]] traffic_totals const& totals() const { return totals_; }
+    [[nodiscard]] std::size_t outstanding() const;
+    /// Long flows that are open now.
+    [[nodiscard]] std::size_t open_flows() const;
+    /// Long flows that had no answer since `from`.
+    [[nodiscard]] std::size_t silent_flows(instant from) const;
+    /// Counts the long flows without an answer since `from` as broken.
+    void judge_silent_flows(instant from);
+    /// Requests whose callers were told "not run" and that did run.
+    [[nodiscard]] std::size_t false_refusals(run_ledger const& ledger) const;
+    /// Open long flows whose agent is at `agent`.
+    [[nodiscard]] std::size_t flows_at(endpoint agent) const;
+    [[nodiscard]] std::size_t flows_in(domain_id domain) const;
+
+    void send(caller_flow& flow, caller_packet const& packet) override;
+    void finished(caller_flow& flow, request_text const& asked,
+        finished_request const& result) override;
+    void lost(caller_flow& flow, reason why) override;
+
+private:
+    void receive(std::size_t socket);
+    void take(std::size_t socket, endpoint from, caller_reply const& reply);
+    void tick();
+    void start_short_flows(instant now);
+    void drive(caller_flow& flow, instant now);
+    caller_flow& add_flow(
+        service_traffic const& traffic, bool is_long, instant now);
+    [[nodiscard]] service_traffic const& traffic_of(
+        caller_flow const& flow) const;
+    [[nodiscard]] request_text make_request(service_traffic const& traffic);
+    [[nodiscard]] duration jittered(duration mean);
+
+    fabric& network_;
+    excuse may_be_lost_;
+    std::mt19937_64 random_;
+    wire::encoder encoder_;
+    std::vector<service_traffic> traffic_;
+    std::vector<unique_fd> sockets_;
+    std::vector<runtime::fd_watch> watches_;
+    std::list<caller_flow> flows_;
+    std::unordered_map<flow_id, caller_flow*> live_;
+    std::unordered_map<flow_id, std::size_t> owners_; ///< Socket, for good.
+    std::vector<std::uint64_t> told_not_run_;
+    traffic_totals totals_;
+    std::uint64_t last_identity_ = 0;
+    instant last_tick_{};
+    bool is_paused_ = false;
+    source_handle timer_;
+};
+
+} // namespace radishspread::standins
+
+#endif
--- /dev/null
+++ b/tests/standins/rs_configuration_service.hpp
@@ -0,0 +1,65 @@
+#ifndef RADISHSPREAD_TESTS_STANDINS_RS_CONFIGURATION_SERVICE_HPP
+#define RADISHSPREAD_TESTS_STANDINS_RS_CONFIGURATION_SERVICE_HPP
+
+#include <radishspread/core/rs_endpoint.hpp>
+
+#include <standins/rs_loop.hpp>
+#include <standins/rs_section_store.hpp>
+
+#include <libsoup/soup.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <string>
+
+namespace radishspread::standins {
+
+/// One replica of the configuration service: HTTP/1.1 with reads of sections
+/// and a long poll. It counts calls; a watch is one call.
+class configuration_service {
+public:
+    /// Listens at once; throws std::runtime_error if it cannot.
+    configuration_service(section_store& store, endpoint address);
+    configuration_service(configuration_service const&) = delete;
+    configuration_service& operator=(configuration_service const&) = delete;
+    ~configuration_service();
+
+    /// Refuses connections and breaks off watches until it is up again.
+    void set_down(bool down);
+    /// Hides all edits after `limit`: a stale replica, or one that goes back
+    /// to an older revision.
+    void show_up_to(revision limit);
+    [[nodiscard]] std::size_t calls() const { return calls_; }
+
+private:
+    struct watcher {
+        SoupServerMessage* message = nullptr;
+        revision after = 0;
+        source_handle timeout;
+    };
+
+    void listen();
+    void stop();
+    void serve(
+        SoupServerMessage* message, std::string const& path, GHashTable* query);
+    void serve_section(SoupServerMessage* message, std::string const& name);
+    void serve_watch(SoupServerMessage* message, GHashTable* query);
+    void hold(SoupServerMessage* message, revision after, duration wait);
+    void answer(SoupServerMessage* message, revision after);
+    void wake_watchers();
+    void release(std::list<watcher>::iterator it, bool answered);
+    void forget(SoupServerMessage* message);
+
+    section_store& store_;
+    endpoint address_;
+    SoupServer* server_ = nullptr;
+    bool is_down_ = false;
+    revision limit_ = section_store::newest;
+    std::size_t calls_ = 0;
+    std::list<watcher> watchers_;
+};
+
+} // namespace radishspread::standins
+
+#endif
--- /dev/null
+++ b/tests/standins/rs_deployment_plan.hpp
@@ -0,0 +1,52 @@
+#ifndef RADISHSPREAD_TESTS_STANDINS_RS_DEPLOYMENT_PLAN_HPP
+#define RADISHSPREAD_TESTS_STANDINS_RS_DEPLOYMENT_PLAN_HPP
+
+#include <radishspread/core/rs_domains_section.hpp>
+#include <radishspread/core/rs_service_section.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace radishspread::standins {
+
+/// One service of a deployment with equal backend servers.
+struct service_plan {
+    std::string name;
+    std::size_t backend_servers = 0;
+    std::uint32_t slots = 0;
+    std::uint32_t work_ms = 0;        ///< Time per request.
+    std::uint32_t longest_answer = 0; ///< Bytes.
+    double idempotent_share = 0;
+};
+
+/// What a deployment consists of (docs/design.md, section 3).
+struct deployment_plan {
+    std::string name;
+    std::string region;
+    std::vector<service_plan> services;
+    std::size_t balancers = 3;
+};
+
+[[nodiscard]] deployment_plan balkonbloei();
+[[nodiscard]] deployment_plan nashama();
+
+/// YAML text of a section of the document.
+[[nodiscard]] std::string to_yaml(domains_section const& it);
+[[nodiscard]] std::string to_yaml(
+    service_section const& it, domains_section const& domains);
+
+/// The sections of `plan` with three failure domains. Backend servers take
+/// them in turn; agents are at `block` + 51, 52, ..., port `agent_port`.
+struct document_sections {
+    domains_section domains;
+    std::vector<service_section> services;
+};
+[[nodiscard]] document_sections make_sections(
+    deployment_plan const& plan, std::uint32_t block, std::uint16_t agent_port);
+
+} // namespace radishspread::standins
+
+#endif
--- /dev/null
+++ b/tests/standins/rs_http2_connection.hpp
@@ -0,0 +1,78 @@
+#ifndef RADISHSPREAD_TESTS_STANDINS_RS_HTTP2_CONNECTION_HPP
+#define RADISHSPREAD_TESTS_STANDINS_RS_HTTP2_CONNECTION_HPP
+
+#include <radishspread/runtime/rs_http2_transport.hpp>
+
+#include <standins/rs_loop.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace radishspread::standins {
+
+/// A complete request on one stream.
+struct http2_request {
+    std::int32_t stream = 0;
+    std::string method;
+    std::string path;
+    std::string deadline_ms; ///< Header x-deadline-ms.
+    std::string body;
+};
+
+/// Server side of one HTTP/2 connection, prior knowledge.
+class http2_connection {
+public:
+    using request_handler =
+        std::function<void(http2_connection&, http2_request const&)>;
+    /// May destroy the connection.
+    using closed_handler = std::function<void(http2_connection&)>;
+
+    http2_connection(runtime::unique_fd fd, std::uint32_t max_streams,
+        request_handler on_request, closed_handler on_closed);
+    http2_connection(http2_connection const&) = delete;
+    http2_connection& operator=(http2_connection const&) = delete;
+    ~http2_connection();
+
+    void respond(std::int32_t stream, int status, std::string body);
+    void refuse(std::int32_t stream);
+    void go_away();
+    /// Neither reads nor writes any more, but stays open.
+    void silence();
+    /// Calls `action` after `delay` unless the stream ends before; then
+    /// `cancelled` is called.
+    void defer(std::int32_t stream, duration delay,
+        std::function<void()> action, std::function<void()> cancelled);
+
+private:
+    friend struct http2_callbacks;
+
+    struct stream_state {
+        http2_request request;
+        std::string answer;
+        std::size_t sent = 0;
+        source_handle timer;
+        std::function<void()> cancelled;
+    };
+
+    [[nodiscard]] nghttp2_session* session() const {
+        return transport_.session();
+    }
+    void flush();
+    void end();
+
+    int socket_;
+    request_handler on_request_;
+    closed_handler on_closed_;
+    std::map<std::int32_t, stream_state> streams_;
+    source_handle closing_;
+    runtime::unique_fd silent_; ///< Keeps a silent connection open.
+    bool is_reading_ = false;
+    runtime::http2_transport transport_;
+};
+
+} // namespace radishspread::standins
+
+#endif
--- /dev/null
+++ b/tests/standins/rs_run_ledger.hpp
@@ -0,0 +1,54 @@
+#ifndef RADISHSPREAD_TESTS_STANDINS_RS_RUN_LEDGER_HPP
+#define RADISHSPREAD_TESTS_STANDINS_RS_RUN_LEDGER_HPP
+
+#include <radishspread/core/rs_ids.hpp>
+#include <radishspread/core/rs_time.hpp>
+
+#include <standins/rs_request_text.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+namespace radishspread::standins {
+
+/// One start of a request at a backend server.
+struct run_record {
+    std::uint64_t identity = 0;
+    backend_id backend = 0;
+    domain_id domain = 0;
+    instant start{};
+};
+
+/// Every run at every backend server, as the servers themselves saw it.
+class run_ledger {
+public:
+    void record(run_record const& run, request_text const& request,
+        service_id server_service);
+    void record_overload() { ++overloads_; }
+
+    [[nodiscard]] std::size_t runs_of(std::uint64_t identity) const;
+    /// Non-idempotent requests that started more than once.
+    [[nodiscard]] std::size_t run_twice() const { return run_twice_; }
+    [[nodiscard]] std::size_t wrong_service() const { return wrong_service_; }
+    /// Requests beyond what a starting or warm backend server can handle.
+    [[nodiscard]] std::size_t overloads() const { return overloads_; }
+    [[nodiscard]] std::vector<run_record> const& runs() const { return runs_; }
+    /// Runs at the backend server that started at `from` or later.
+    [[nodiscard]] std::size_t runs_at(backend_id backend, instant from) const;
+    /// Start of the last run in the failure domain before `until`, or the
+    /// epoch.
+    [[nodiscard]] instant last_run_in(domain_id domain, instant until) const;
+
+private:
+    std::vector<run_record> runs_;
+    std::unordered_map<std::uint64_t, std::size_t> counts_;
+    std::size_t run_twice_ = 0;
+    std::size_t wrong_service_ = 0;
+    std::size_t overloads_ = 0;
+};
+
+} // namespace radishspread::standins
+
+#endif
