Cold state: two slow responses in a row; callers give up silent flows

Cause: (1) after an unannounced cold state the bound was halved once for a batch of slow responses, and half of the slots is more than a cold server can handle; (2) a flow whose agent's host had failed hung for ever, since nobody was left to reset it (process test killed_agent_loses_only_its_own_flows). Ruled out: going to the starting bound on one slow response (an outlier would cost 84 successes at 7 slots); agents answering keepalives (control traffic). Change: admission, caller session, tests for both.

--- a/packages/caller/include/radishspread/caller/internal/rs_caller_session_impl.hpp
+++ b/packages/caller/include/radishspread/caller/internal/rs_caller_session_impl.hpp
@@ -65,6 +65,7 @@
         reply.service == options_.service && reply.flow == options_.flow;
     if (!is_ours || is_lost_)
         return;
+    silent_since_.reset();
     switch (reply.kind) {
     case reply_kind::opened:
         return on_opened(now, reply, sink);
@@ -99,6 +100,10 @@
             it->was_sent ? request_result::unknown : request_result::not_run;
         finish(id, result, reason::deadline_exceeded, sink);
     }
+    bool const is_silent = silent_since_ && !expired.empty() &&
+                           now - *silent_since_ >= options_.silence_limit;
+    if (is_silent)
+        return lose(reason::deadline_exceeded, sink);
     if (is_open() && now >= next_keepalive_) {
         next_keepalive_ = now + options_.keepalive_interval;
         sink.send(make_packet(packet_kind::keepalive));
@@ -127,6 +132,8 @@
     packet.trace = it.trace;
     packet.payload = it.payload;
     it.was_sent = true;
+    if (!silent_since_)
+        silent_since_ = now;
     it.next_send = now + it.interval;
     it.interval = std::min(it.interval * 2, options_.retransmit_maximum);
     next_keepalive_ = now + options_.keepalive_interval;
--- a/packages/caller/include/radishspread/caller/rs_caller_session.hpp
+++ b/packages/caller/include/radishspread/caller/rs_caller_session.hpp
@@ -85,6 +85,8 @@
     std::uint8_t attempt_ = 0;
     bool is_opening_ = false;
     bool is_lost_ = false;
+    /// First request sent since the last reply, if it is unanswered.
+    std::optional<instant> silent_since_;
     instant open_deadline_;
     instant next_open_;
     instant next_keepalive_;
--- a/packages/caller/include/radishspread/caller/rs_caller_session_options.hpp
+++ b/packages/caller/include/radishspread/caller/rs_caller_session_options.hpp
@@ -13,6 +13,9 @@
     duration retransmit_minimum = std::chrono::milliseconds(200);
     duration retransmit_maximum = std::chrono::seconds(2);
     duration open_deadline = std::chrono::seconds(10);
+    /// A flow whose requests got no reply for this long is lost: its agent's
+    /// host has failed, and nobody is left to reset the flow.
+    duration silence_limit = std::chrono::seconds(10);
     duration keepalive_interval = std::chrono::seconds(15);
 };
 
--- a/packages/caller/tests/rs_caller_session_test.cpp
+++ b/packages/caller/tests/rs_caller_session_test.cpp
@@ -121,6 +121,17 @@
     CHECK_EQUAL(1, log.losses.size());
 }
 
+// A flow at a host that has failed is never reset, and must not hang for ever.
+TEST(caller_flow, flow_without_any_reply_is_lost_when_requests_time_out) {
+    open_with_request();
+    session.tick(start + 6s, log);
+    CHECK_FALSE(session.is_lost());
+    session.request(start + 6s, bytes(4), true, 5s, log);
+    session.tick(start + 11s, log);
+    CHECK_TRUE(session.is_lost());
+    CHECK_EQUAL(1, log.losses.size());
+}
+
 TEST(caller_flow, reset_ends_sent_requests_unknown) {
     open_with_request();
     auto it = reply(reply_kind::reset);
--- a/packages/core/include/radishspread/core/internal/rs_agent_admission.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_agent_admission.hpp
@@ -8,7 +8,8 @@
 namespace radishspread::agent_internal {
 
 /// How many requests the backend server may run at the same time. The bound
-/// starts low, grows with successes and is halved by signs of overload.
+/// starts low, grows with successes and is halved by signs of overload. Two
+/// slow responses in a row set it back to the starting bound.
 class admission {
 public:
     /// Applies the slots of the document.
@@ -42,6 +43,7 @@
     duration mean_{0};
     duration warm_mean_{0};
     std::uint32_t warm_samples_ = 0;
+    std::uint32_t slow_run_ = 0; ///< Slow responses in a row.
 };
 
 } // namespace radishspread::agent_internal
--- a/packages/core/src/rs_agent_admission.cpp
+++ b/packages/core/src/rs_agent_admission.cpp
@@ -15,6 +15,8 @@
 /// Responses below this time are never slow: scheduling noise alone can triple
 /// a response time of a few hundred microseconds.
 constexpr duration slow_minimum = std::chrono::milliseconds(10);
+/// Slow responses in a row that show a cold backend server.
+constexpr std::uint32_t cold_run = 2;
 /// The warm mean is used only after this many responses.
 constexpr std::uint32_t warm_minimum = 16;
 /// Weight of one response in a mean is 1 / `smoothing`.
@@ -44,6 +46,7 @@
 }
 
 void admission::start_cold() {
+    slow_run_ = 0;
     bound_ = std::max<std::uint32_t>(1, slots_ / starting_divisor);
     successes_ = 0;
 }
@@ -54,8 +57,14 @@
         // The sample is capped, so that one outlier moves the mean little, yet
         // a lasting change of the workload becomes the new normal.
         warm_mean_ = smooth(warm_mean_, warm_mean_ * slow_factor);
-        return halve(now, sent);
+        halve(now, sent);
+        // One slow response may be an outlier. All responses of a cold server
+        // are slow, and half of the load is still more than it can handle.
+        if (++slow_run_ >= cold_run)
+            start_cold();
+        return;
     }
+    slow_run_ = 0;
     if (bound_ >= slots_) {
         warm_mean_ = smooth(warm_mean_, elapsed);
         warm_samples_ = std::min(warm_samples_ + 1, warm_minimum);
--- a/tests/fakes/rs_observation.hpp
+++ b/tests/fakes/rs_observation.hpp
@@ -44,7 +44,7 @@
     service_impaired, ///< The configuration service is down or stale.
     service_healthy,
     backend_fault, ///< `backend`: crashed, shedding or silent; `value` 1:
-                   ///< cold without notice.
+                   ///< cold without notice; 2: the same while starting.
     packet_fault,  ///< Packets are lost, duplicated, late or reordered.
 };
 
--- a/tests/matrix/rs_timeline.cpp
+++ b/tests/matrix/rs_timeline.cpp
@@ -49,6 +49,8 @@
     case seen::backend_fault:
         if (it.value == 1)
             cold[it.backend].push_back(it.at);
+        if (it.value == 2)
+            cold_again[it.backend].push_back(it.at);
         has_unplanned_fault = true;
         break;
     case seen::packet_fault:
--- a/tests/matrix/rs_timeline.hpp
+++ b/tests/matrix/rs_timeline.hpp
@@ -34,6 +34,7 @@
     std::map<endpoint, std::vector<interval>> cut_off;
     std::map<endpoint, std::vector<instant>> killed;
     std::map<backend_id, std::vector<instant>> cold;
+    std::map<backend_id, std::vector<instant>> cold_again; ///< While starting.
     std::map<backend_id, instant> leaving;
     std::vector<interval> impaired;
     bool has_unplanned_fault = false;
