--- a/packages/runtime/include/radishspread/runtime/rs_configuration_client.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_configuration_client.hpp
@@ -5,14 +5,14 @@
 #include <radishspread/core/rs_time.hpp>
 #include <radishspread/runtime/rs_section_response.hpp>
 
+#include <libsoup/soup.h>
+
 #include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
-typedef struct _SoupSession SoupSession;
-
 namespace radishspread::runtime {
 
 class configuration_call;
--- a/packages/runtime/include/radishspread/runtime/rs_metrics_server.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_metrics_server.hpp
@@ -4,9 +4,9 @@
 #include <radishspread/core/rs_endpoint.hpp>
 #include <radishspread/runtime/rs_metrics.hpp>
 
-#include <string>
+#include <libsoup/soup.h>
 
-typedef struct _SoupServer SoupServer;
+#include <string>
 
 namespace radishspread::runtime {
 
--- a/packages/runtime/include/radishspread/runtime/rs_peer_connection.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_peer_connection.hpp
@@ -23,7 +23,7 @@
     peer_connection(peer_connection const&) = delete;
     peer_connection& operator=(peer_connection const&) = delete;
 
-    void get(instant now, std::string path, response_call call);
+    void get(instant now, std::string const& path, response_call call);
     void tick(instant now);
     void flush();
 
--- a/packages/runtime/include/radishspread/runtime/rs_process.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_process.hpp
@@ -70,7 +70,7 @@
     void begin_stop();
     void end(bool is_cut);
     void reread();
-    void apply(config::settings next);
+    void apply(config::settings const& next);
     void open_trace();
     void report(std::uint16_t number, step_error const& error);
 
--- a/packages/runtime/src/rs_configuration_call.cpp
+++ b/packages/runtime/src/rs_configuration_call.cpp
@@ -107,7 +107,7 @@
     response_.code = ec;
     auto const call = std::exchange(call_, nullptr);
     if (call)
-        call(std::move(response_));
+        call(response_);
 }
 
 } // namespace radishspread::runtime
--- a/packages/runtime/src/rs_metrics_server.cpp
+++ b/packages/runtime/src/rs_metrics_server.cpp
@@ -1,6 +1,5 @@
 #include <radishspread/runtime/rs_metrics_server.hpp>
 
-#include <libsoup/soup.h>
 #include <netinet/in.h>
 
 namespace radishspread::runtime {
--- a/packages/runtime/src/rs_peer_client.cpp
+++ b/packages/runtime/src/rs_peer_client.cpp
@@ -5,7 +5,7 @@
 peer_client::peer_client(peer_client_options options) : options_(options) {}
 
 void peer_client::get(
-    instant now, endpoint peer, std::string path, response_call call) {
+    instant now, endpoint peer, std::string const& path, response_call call) {
     auto found = connections_.find(peer);
     if (found != connections_.end() && found->second->is_closed()) {
         retired_.push_back(std::move(found->second));
@@ -23,7 +23,7 @@
     auto& it = connections_[peer];
     if (it == nullptr)
         it = std::make_unique<peer_connection>(peer, options_.progress, now);
-    it->get(now, std::move(path), std::move(call));
+    it->get(now, path, std::move(call));
 }
 
 void peer_client::tick(instant now) {
--- a/packages/runtime/src/rs_process.cpp
+++ b/packages/runtime/src/rs_process.cpp
@@ -215,14 +215,14 @@
 
 void process::reread() {
     static_cast<void>(enter());
-    auto next = read_settings(file_, settings_.role);
+    auto const next = read_settings(file_, settings_.role);
     if (next.value)
-        return apply(std::move(*next.value));
+        return apply(*next.value);
     log(make_event(
         config::settings_event::refused, step::start, {}, 0, next.fault));
 }
 
-void process::apply(config::settings next) {
+void process::apply(config::settings const& next) {
     auto const change = compare_settings(settings_, next);
     settings_.log_directory = next.log_directory;
     settings_.trace_file = next.trace_file;
--- a/packages/runtime/src/rs_section_reader.cpp
+++ b/packages/runtime/src/rs_section_reader.cpp
@@ -54,15 +54,14 @@
       configuration_(options.configuration), peers_(options.peers) {}
 
 void section_reader::read(instant now, std::string_view name) {
-    configuration_.read(
-        now, name, [this, copy = std::string(name)](section_response it) {
-            finish_read(copy, {}, it);
-        });
+    configuration_.read(now, name,
+        [this, copy = std::string(name)](
+            section_response const& it) { finish_read(copy, {}, it); });
 }
 
 void section_reader::watch(instant now, std::uint64_t after) {
     configuration_.watch(
-        now, after, [this](section_response it) { finish_watch(it); });
+        now, after, [this](section_response const& it) { finish_watch(it); });
 }
 
 void section_reader::pull_section(
@@ -74,7 +73,7 @@
 
 void section_reader::pull_index(instant now, endpoint peer) {
     peers_.get(now, peer, "/v1/index",
-        [this, peer](section_response it) { finish_index(peer, it); });
+        [this, peer](section_response const& it) { finish_index(peer, it); });
 }
 
 void section_reader::tick(instant now) {
--- a/packages/runtime/tests/rs_http2_test_server.hpp
+++ b/packages/runtime/tests/rs_http2_test_server.hpp
@@ -4,6 +4,7 @@
 #include <radishspread/runtime/rs_clock.hpp>
 #include <radishspread/runtime/rs_http2_transport.hpp>
 #include <radishspread/runtime/rs_loop.hpp>
+#include <radishspread/runtime/rs_step_error.hpp>
 
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -45,8 +46,9 @@
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         auto* generic = reinterpret_cast<sockaddr*>(&address);
         socklen_t size = sizeof address;
-        bind(listener_.get(), generic, size);
-        listen(listener_.get(), 1);
+        if (bind(listener_.get(), generic, size) != 0 ||
+            listen(listener_.get(), 1) != 0)
+            throw std::system_error(last_system_error());
         getsockname(listener_.get(), generic, &size);
         at_ = {.address = INADDR_LOOPBACK, .port = ntohs(address.sin_port)};
         watch_ = fd_watch(
--- a/packages/runtime/tests/rs_peer_server_test.cpp
+++ b/packages/runtime/tests/rs_peer_server_test.cpp
@@ -73,7 +73,7 @@
     section_response get(std::string const& path) {
         std::optional<section_response> out;
         client.get(monotonic_now(), at, path,
-            [&](section_response it) { out = std::move(it); });
+            [&](section_response const& it) { out = it; });
         CHECK_TRUE(run_until([&] { return out.has_value(); }));
         return out.value_or(section_response());
     }
