Peer server: no warning for the end of an idle, used connection

Cause: a run of the process tests logged a warning (RS1315) 10 s after each ordinary exchange between peers, when the kept connection was closed.

Change: an idle connection is reported only if it never carried a request.

--- a/packages/runtime/include/radishspread/runtime/internal/rs_peer_server_connection.hpp
+++ b/packages/runtime/include/radishspread/runtime/internal/rs_peer_server_connection.hpp
@@ -16,7 +16,8 @@
         peer_server_options const& options, peer_server_source const& source,
         instant now);
 
-    /// Returns why the connection is to be dropped, or an empty text.
+    /// Closes the connection if it is silent, slow or idle. Returns why, for
+    /// the log; empty if it stays open or only its use has ended.
     [[nodiscard]] std::string_view check(instant now);
     void flush();
 
@@ -53,6 +54,7 @@
     std::unordered_map<std::int32_t, stream> streams_;
     std::unique_ptr<http2_transport> transport_;
     bool is_closed_ = false;
+    bool has_served_ = false;
 };
 
 } // namespace radishspread::runtime
--- a/packages/runtime/src/rs_peer_server_connection.cpp
+++ b/packages/runtime/src/rs_peer_server_connection.cpp
@@ -135,7 +135,9 @@
     if (action != progress_action::drop)
         return {};
     is_closed_ = true;
-    return streams_.empty() ? "idle" : "no progress";
+    if (!streams_.empty())
+        return "no progress";
+    return has_served_ ? "" : "idle";
 }
 
 void peer_server_connection::flush() {
@@ -144,6 +146,7 @@
 }
 
 void peer_server_connection::respond(std::int32_t stream_id) {
+    has_served_ = true;
     auto& it = streams_[stream_id];
     auto const result = fill(it);
     auto const size = std::to_string(it.body.size());
