--- a/tests/standins/rs_caller_fleet.hpp
+++ b/tests/standins/rs_caller_fleet.hpp
@@ -72,6 +72,7 @@
     void receive(std::size_t socket);
     void take(std::size_t socket, endpoint from, caller_reply const& reply);
     void tick();
+    [[nodiscard]] static bool is_over(caller_flow const& flow, instant now);
     void start_short_flows(instant now);
     void drive(caller_flow& flow, instant now);
     caller_flow& add_flow(
--- a/tests/standins/rs_caller_flow.hpp
+++ b/tests/standins/rs_caller_flow.hpp
@@ -58,6 +58,7 @@
     instant next_request{};
     instant last_answer{};
     std::size_t requests_left = 0; ///< Of a short flow.
+    bool is_given_up = false;      ///< A request had no reply in time.
 
 private:
     flow_owner& owner_;
--- a/tests/standins/rs_traffic_totals.hpp
+++ b/tests/standins/rs_traffic_totals.hpp
@@ -1,6 +1,8 @@
 #ifndef RADISHSPREAD_TESTS_STANDINS_RS_TRAFFIC_TOTALS_HPP
 #define RADISHSPREAD_TESTS_STANDINS_RS_TRAFFIC_TOTALS_HPP
 
+#include <radishspread/core/rs_reason.hpp>
+
 #include <cstddef>
 
 namespace radishspread::standins {
@@ -12,11 +14,12 @@
     std::size_t failed = 0; ///< Of `answered`: with a status other than 200.
     std::size_t not_run = 0;
     std::size_t unknown = 0;
-    std::size_t long_flows = 0;   ///< Long flows that were opened.
-    std::size_t short_flows = 0;  ///< Short flows that were started.
-    std::size_t unopened = 0;     ///< Openings without success.
-    std::size_t abandoned = 0;    ///< Lost, as the failure domain is out.
-    std::size_t broken = 0;       ///< Lost, although they should survive.
+    std::size_t long_flows = 0;  ///< Long flows that were opened.
+    std::size_t short_flows = 0; ///< Short flows that were started.
+    std::size_t unopened = 0;    ///< Openings without success.
+    std::size_t abandoned = 0;   ///< Lost, as the failure domain is out.
+    std::size_t broken = 0;      ///< Lost, although they should survive.
+    reason last_broken = reason::none;
     std::size_t wrong_caller = 0; ///< Replies for another caller or request.
     std::size_t incomplete = 0;   ///< Answers that lack or change a part.
 };
