Agent core: load for metrics, shorter repeats of moved

Cause: the runtime needs the sizes of the agent's tables for its metrics. A caller that lost every `moved` until the giver ended could wait 60 s for the next one.

Ruled out: no limit on the delay by time of the flow; a cap of 10 s costs one datagram per unconfirmed flow and 10 s.

Change: agent::load() with agent_load; the delay of `moved` is capped at 10 s. The random test keeps messages behind pointers, because clang-tidy reports the move assignment of the variant.

--- a/packages/core/include/radishspread/core/internal/rs_agent_moved_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_agent_moved_impl.hpp
@@ -10,9 +10,10 @@
 /// Time after the last packet of a moved flow in which a stopping agent waits
 /// for further ones. Callers retransmit at least every 2 s.
 inline constexpr duration moved_linger = std::chrono::milliseconds(2500);
-/// Delays between repeats of `moved`.
+/// Delays between repeats of `moved`. The longest one bounds how long a caller
+/// may be cut off that lost all of them until the giver ended.
 inline constexpr duration moved_minimum = std::chrono::milliseconds(100);
-inline constexpr duration moved_maximum = std::chrono::seconds(60);
+inline constexpr duration moved_maximum = std::chrono::seconds(10);
 /// Time for which a leaving agent lets a busy flow take new requests.
 inline constexpr duration freeze_delay = std::chrono::seconds(2);
 
--- a/packages/core/include/radishspread/core/rs_agent.hpp
+++ b/packages/core/include/radishspread/core/rs_agent.hpp
@@ -2,6 +2,7 @@
 #define RADISHSPREAD_CORE_RS_AGENT_HPP
 
 #include <radishspread/core/internal/rs_agent_state.hpp>
+#include <radishspread/core/rs_agent_load.hpp>
 #include <radishspread/core/rs_agent_options.hpp>
 #include <radishspread/core/rs_backend_event.hpp>
 #include <radishspread/core/rs_document.hpp>
@@ -48,6 +49,9 @@
     /// Requests dispatched and not yet ended, for the count at a forced stop.
     [[nodiscard]] std::size_t outstanding() const;
 
+    /// Sizes of the tables, for metrics.
+    [[nodiscard]] agent_load load() const;
+
     [[nodiscard]] document const& view() const;
 
 private:
--- a/packages/core/src/rs_agent.cpp
+++ b/packages/core/src/rs_agent.cpp
@@ -23,6 +23,17 @@
     return state_.dispatches.size();
 }
 
+agent_load agent::load() const {
+    return {.slots = state_.bound.slots(),
+        .bound = state_.bound.bound(),
+        .occupied = state_.dispatches.size(),
+        .reserved = state_.flows.reserved(),
+        .queued = state_.queue.size(),
+        .flows = state_.flows.owned(),
+        .moved = state_.flows.moved(),
+        .stored = state_.answers.size()};
+}
+
 document const& agent::view() const {
     return state_.view;
 }
--- a/packages/core/tests/rs_agent_random_test.cpp
+++ b/packages/core/tests/rs_agent_random_test.cpp
@@ -135,7 +135,8 @@
     template <class Message> void post(endpoint to, Message const& message) {
         auto const copies = below(10) == 0 ? 0 : 1 + below(5) / 4;
         for (std::size_t n = 0; n < copies; ++n)
-            network_.push_back({to, message});
+            network_.push_back(
+                std::make_shared<letter const>(letter{to, message}));
     }
 
     void deliver_one() {
@@ -145,13 +146,13 @@
         if (below(8) != 0)
             network_.erase(network_.begin() + static_cast<std::ptrdiff_t>(at));
         for (auto& agent : agents_) {
-            if (agent->entry().agent != it.to)
+            if (agent->entry().agent != it->to)
                 continue;
             std::visit(
                 [&](auto const& message) {
                     agent->core().handle(agent->now, message, agent->out);
                 },
-                it.message);
+                it->message);
         }
     }
 
@@ -191,7 +192,7 @@
     std::mt19937_64 random_;
     std::vector<std::unique_ptr<agent_driver>> agents_;
     std::array<std::size_t, 3> connects_{};
-    std::vector<letter> network_;
+    std::vector<std::shared_ptr<letter const>> network_;
     std::vector<running> running_;
     std::vector<std::pair<flow_id, route_cookie>> cookies_;
     std::map<flow_id, std::size_t> highest_;
