Give the fakes a hook for events and datagrams

Cause: the virtual-time fleet recorded only what the checker of the fault matrix needs; log events were dropped, and a reader could not see which process sent what. Ruled out: reading datagrams in the event queue, since the filters of the mutations change messages before that, and the queue does not know kinds. Change: world_observer sees log events, packets, replies, forwards, delivers, handovers, dispatches and section reads; the default ignores them.

--- a/tests/fakes/rs_agent_process.cpp
+++ b/tests/fakes/rs_agent_process.cpp
@@ -63,6 +63,7 @@
         world_.reached(packet.caller, milestone::passed_on);
     world_.observe_stamp(*this, packet.origin);
     world_.observe_forward(*this, to, packet);
+    world_.observer().sent(facts().self, to, packet);
     world_.send_datagram(*this, to, encoder_.encode(packet));
 }
 
@@ -70,6 +71,7 @@
     auto changed = reply;
     world_.filter().agent_replies(changed.reply);
     world_.observe_stamp(*this, reply.origin);
+    world_.observer().sent(facts().self, to, changed);
     auto const& it = changed.reply;
     if (it.kind == reply_kind::opened)
         world_.note({.what = seen::new_flow_at,
@@ -85,12 +87,14 @@
 
 void agent_process::send_handover(endpoint to, handover const& request) {
     world_.observe_stamp(*this, request.origin);
+    world_.observer().sent(facts().self, to, request);
     world_.send_datagram(*this, to, encoder_.encode(request));
 }
 
 void agent_process::send_handover_reply(
     endpoint to, handover_reply const& result) {
     world_.observe_stamp(*this, result.origin);
+    world_.observer().sent(facts().self, to, result);
     world_.send_datagram(*this, to, encoder_.encode(result));
 }
 
@@ -127,6 +131,7 @@
     std::uint64_t /*connection*/, backend_request const& request) {
     has_dispatched_ = true;
     auto const to = world_.filter().dispatches_to(backend_.options().id);
+    world_.observer().dispatched(facts().self, request);
     auto const id = read_payload(request.payload).id;
     world_.backend(to).dispatch(request);
     world_.reached_request(id, milestone::dispatched);
--- a/tests/fakes/rs_balancer_process.cpp
+++ b/tests/fakes/rs_balancer_process.cpp
@@ -31,6 +31,7 @@
     caller_packet packet;
     if (wire::decode(datagram, packet))
         return;
+    world_.observer().received(facts().self, caller, packet);
     core_.handle(world_.queue.now(),
         caller_packet_event{
             .port_service = port, .caller = caller, .packet = packet},
@@ -56,11 +57,13 @@
     world_.filter().balancer_forward(target, changed);
     world_.observe_stamp(*this, packet.origin);
     world_.observe_forward(*this, target, changed);
+    world_.observer().sent(facts().self, target, changed);
     world_.send_datagram(*this, target, encoder_.encode(changed));
 }
 
 void balancer_process::send_reply(
     service_id /*service*/, endpoint caller, caller_reply const& reply) {
+    world_.observer().replied(facts().self, caller, reply);
     world_.send_to_caller(*this, caller, reply);
 }
 
--- a/tests/fakes/rs_process.cpp
+++ b/tests/fakes/rs_process.cpp
@@ -59,7 +59,12 @@
         on(read_failed_event{.name = name, .peer = peer});
 }
 
+void process::log(log_event const& event) {
+    world_.observer().logged(facts_.self, event);
+}
+
 void process::read_section(std::string_view name) {
+    world_.observer().reads(facts_.self, {}, name);
     std::string const key(name);
     if (group != 0)
         return world_.queue.after(failure_time,
@@ -93,6 +98,7 @@
 }
 
 void process::pull_section(endpoint peer, std::string_view name) {
+    world_.observer().reads(facts_.self, peer, name);
     std::string const key(name);
     auto* const other = world_.find(peer);
     bool const is_up =
--- a/tests/fakes/rs_process.hpp
+++ b/tests/fakes/rs_process.hpp
@@ -67,7 +67,7 @@
     void send_digest(endpoint peer, peer_digest const& digest);
     void section_in_force(section_ptr const& /*value*/) {}
     void discard_queued() { datagrams_.clear(); }
-    void log(log_event const& /*event*/) {}
+    void log(log_event const& event);
 
 protected:
     virtual void on(section_event const& event) = 0;
--- a/tests/fakes/rs_world.hpp
+++ b/tests/fakes/rs_world.hpp
@@ -10,6 +10,7 @@
 #include <fakes/rs_observation.hpp>
 #include <fakes/rs_packet_faults.hpp>
 #include <fakes/rs_process.hpp>
+#include <fakes/rs_world_observer.hpp>
 
 #include <functional>
 #include <map>
@@ -50,6 +51,9 @@
     duration uneven_delay{0};
 
     [[nodiscard]] deployment const& fleet() const { return fleet_; }
+    [[nodiscard]] world_observer& observer() { return *observer_; }
+    /// `it` must outlive this object.
+    void observe_with(world_observer& it) { observer_ = &it; }
     std::mt19937_64& random() { return random_; }
     action_filter& filter() { return filter_; }
 
@@ -111,6 +115,8 @@
     deployment fleet_;
     std::mt19937_64 random_;
     action_filter& filter_;
+    world_observer ignore_;
+    world_observer* observer_ = &ignore_;
     std::map<backend_id, std::unique_ptr<fake_backend>> backends_;
     std::map<endpoint, std::unique_ptr<process>> processes_; // use backends_
     std::map<endpoint, std::unique_ptr<fake_caller>> callers_;
