Add six golden sessions with approved texts

Cause: no test showed a whole session; a change in the order or kind of messages passed unseen unless it broke a promise.

--- /dev/null
+++ b/tests/golden/rs_session_recorder.cpp
@@ -0,0 +1,220 @@
+#include <golden/rs_session_recorder.hpp>
+
+#include <radishspread/core/rs_agent_events.hpp>
+#include <radishspread/core/rs_balancer_events.hpp>
+#include <radishspread/core/rs_document_events.hpp>
+
+#include <array>
+#include <cstdio>
+
+namespace radishspread::golden {
+
+using fakes::seen;
+
+namespace {
+
+constexpr std::array<std::string_view, 5> packet_names{
+    "open", "request", "keepalive", "cancel", "close"};
+constexpr std::array<std::string_view, 5> reply_names{
+    "opened", "answer", "refused", "reset", "moved"};
+constexpr std::array<std::string_view, 3> outcome_names{
+    "none", "not_run", "unknown"};
+
+/// "balancer-1", "agent-2" or "caller-3": the fakes number the hosts of each
+/// role within a network of their own.
+std::string name_of(endpoint it) {
+    constexpr std::uint32_t network_bits = 16;
+    constexpr std::uint32_t host_mask = 0xffff;
+    constexpr std::array<std::string_view, 4> roles{
+        "host", "balancer", "agent", "caller"};
+    auto const network = (it.address >> network_bits) & 0xffU;
+    return std::string(roles[network < roles.size() ? network : 0]) + "-" +
+           std::to_string(it.address & host_mask);
+}
+
+template <class T> std::string field(std::string_view name, T value) {
+    if (value == T{})
+        return {};
+    return " " + std::string(name) + "=" + std::to_string(value);
+}
+
+std::string reason_field(reason it) {
+    return it == reason::none ? "" : " reason=" + std::string(to_string(it));
+}
+
+std::string text_of(caller_packet const& it) {
+    std::string text(packet_names[static_cast<std::size_t>(it.kind)]);
+    text += field("flow", it.flow);
+    text += field("attempt", it.attempt);
+    text += field("request", it.request);
+    if (it.kind == packet_kind::request) {
+        text += field("order", fakes::read_payload(it.payload).id);
+        text += it.idempotent ? " idempotent" : " at-most-once";
+    }
+    text += field("received", it.received);
+    return text;
+}
+
+std::string text_of(caller_reply const& it) {
+    std::string text(reply_names[static_cast<std::size_t>(it.kind)]);
+    text += field("flow", it.flow);
+    text += field("request", it.request);
+    if (it.outcome != outcome::none)
+        text +=
+            " outcome=" +
+            std::string(outcome_names[static_cast<std::size_t>(it.outcome)]);
+    text += reason_field(it.reason);
+    text += field("status", it.status);
+    if (it.kind == reply_kind::answer)
+        text += " bytes=" + std::to_string(it.offset) + "-" +
+                std::to_string(it.offset + it.payload.size()) + "/" +
+                std::to_string(it.total);
+    if (it.cookie)
+        text += " cookie=" + name_of(it.cookie->agent);
+    return text;
+}
+
+std::string_view event_text(std::uint16_t number) {
+    for (auto const& it : balancer_events)
+        if (it.number == number)
+            return it.text;
+    for (auto const& it : agent_events)
+        if (it.number == number)
+            return it.text;
+    for (auto const& it : document_events)
+        if (it.number == number)
+            return it.text;
+    return "not in the catalogue";
+}
+
+void replace(std::string& line, std::string const& old, std::string const& by) {
+    auto const at = line.find(old);
+    if (at != std::string::npos)
+        line.replace(at, old.size(), by);
+}
+
+/// What the flag of an observation says.
+std::string flag_text(fakes::observation const& it) {
+    if (it.what == seen::request_started)
+        return it.flag ? " idempotent" : " at-most-once";
+    if (it.what == seen::request_ended)
+        return it.flag ? "" : " wrong response";
+    if (it.what == seen::flow_lost)
+        return " reason=" +
+               std::string(to_string(static_cast<reason>(it.value)));
+    return {};
+}
+
+/// Shown by the datagrams already, or of use to the matrix only.
+bool is_left_out(seen what) {
+    return what == seen::stamp_sent || what == seen::packet_into ||
+           what == seen::new_flow_at || what == seen::not_run_replied;
+}
+
+} // namespace
+
+void session_recorder::begin() {
+    is_on_ = true;
+    noted_ = world_.log.size();
+}
+
+std::string session_recorder::text() {
+    add_observations();
+    return text_;
+}
+
+void session_recorder::add_observations() {
+    for (; noted_ < world_.log.size(); ++noted_) {
+        auto const& it = world_.log[noted_];
+        if (is_left_out(it.what))
+            continue;
+        auto line = fakes::to_string(it);
+        if (it.process.is_set())
+            replace(line, to_string(it.process), name_of(it.process));
+        replace(line, " request=", " order=");
+        replace(line, " flag", "");
+        if (it.what == seen::flow_lost)
+            replace(line, " value=" + std::to_string(it.value), "");
+        text_ += line + flag_text(it) + "\n";
+    }
+}
+
+void session_recorder::add(endpoint at, std::string const& what) {
+    if (!is_on_)
+        return;
+    add_observations();
+    char buf[32];
+    std::snprintf(buf, sizeof buf, "%10.3f ms ",
+        static_cast<double>(world_.queue.now().time_since_epoch().count()) /
+            1000.0);
+    text_ += buf + name_of(at) + what + "\n";
+}
+
+void session_recorder::add_sent(
+    endpoint at, endpoint to, std::string const& what) {
+    auto const* const from = world_.find(at);
+    auto const* const other = world_.find(to);
+    std::string lost;
+    if (other == nullptr)
+        lost = " (lost: no process there)";
+    else if (from != nullptr && !world_.can_reach(*from, *other))
+        lost = " (lost: unreachable)";
+    add(at, " -> " + name_of(to) + " " + what + lost);
+}
+
+void session_recorder::logged(endpoint at, log_event const& event) {
+    auto line = " RS" + std::to_string(event.number) + " " +
+                std::string(event_text(event.number));
+    if (!event.text.empty())
+        line += " text=" + std::string(event.text);
+    if (event.peer.is_set())
+        line += " peer=" + name_of(event.peer);
+    line += field("flow", event.flow) + field("request", event.request);
+    add(at, line + reason_field(event.reason) + field("value", event.value));
+}
+
+void session_recorder::received(
+    endpoint at, endpoint caller, caller_packet const& it) {
+    add(at, " <- " + name_of(caller) + " " + text_of(it));
+}
+
+void session_recorder::replied(
+    endpoint at, endpoint caller, caller_reply const& it) {
+    add(at, " -> " + name_of(caller) + " " + text_of(it));
+}
+
+void session_recorder::sent(endpoint at, endpoint to, forward const& it) {
+    std::string line = "forward: " + text_of(it.packet);
+    line += field("passes", it.passes);
+    add_sent(at, to, it.must_accept ? line + " must_accept" : line);
+}
+
+void session_recorder::sent(endpoint at, endpoint to, deliver const& it) {
+    add_sent(at, to, "deliver: " + text_of(it.reply));
+}
+
+void session_recorder::sent(endpoint at, endpoint to, handover const& it) {
+    add_sent(at, to,
+        std::string(it.target == 0 ? "handover: query" : "handover: transfer") +
+            field("flow", it.flow.flow));
+}
+
+void session_recorder::sent(
+    endpoint at, endpoint to, handover_reply const& it) {
+    auto line = "handover_reply:" + field("flow", it.flow.flow);
+    line += it.cookie ? " taken" : it.target == 0 ? " query" : " not taken";
+    add_sent(at, to, line + reason_field(it.reason));
+}
+
+void session_recorder::dispatched(endpoint at, backend_request const& it) {
+    add(at, " dispatch" + field("request", it.request) +
+                field("order", fakes::read_payload(it.payload).id));
+}
+
+void session_recorder::reads(
+    endpoint at, endpoint from, std::string_view section) {
+    add(at, " reads " + std::string(section) + " from " +
+                (from.is_set() ? name_of(from) : "the configuration service"));
+}
+
+} // namespace radishspread::golden
--- /dev/null
+++ b/tests/golden/rs_sessions.cpp
@@ -0,0 +1,195 @@
+#include <golden/rs_session_recorder.hpp>
+#include <golden/rs_sessions.hpp>
+
+namespace radishspread::golden {
+
+using fakes::fake_caller;
+using fakes::fake_configuration;
+using fakes::milestone;
+using fakes::seen;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// The fleet has read its sections and proven its views by then.
+constexpr instant begin{4s};
+constexpr service_id service = 1;
+constexpr std::string_view service_name = "service/service-1";
+
+constexpr std::string_view notation =
+    "# 2 balancers; 3 agents with a backend server each, agent N in failure\n"
+    "# domain (N - 1) mod 3 + 1. A -> B: A sent to B; A <- B: A received from\n"
+    "# B. RSnnnn: numbered log event. order: the request's number at the\n"
+    "# caller. Lines without a process at the start are what callers, backend\n"
+    "# servers and operators saw or did. The start of the fleet, watches and\n"
+    "# digests are left out.\n";
+
+fakes::deployment small_fleet() {
+    return {.name = "golden",
+        .balancers = 2,
+        .slots = 4,
+        .backends_per_service = {3}};
+}
+
+/// A small fleet and the recorder of what happens in it.
+class session {
+public:
+    explicit session(std::uint64_t seed) : fleet(small_fleet(), seed, filter_) {
+        fleet.observe_with(recorder_);
+        at(0ms, [this] { recorder_.begin(); });
+    }
+
+    /// Schedules a step at a time after `begin`.
+    void at(duration when, fakes::event_queue::action step) {
+        fleet.queue.at(begin + when, std::move(step));
+    }
+
+    /// Runs up to a time after `begin`; returns the text.
+    std::string run(std::string const& title, duration end) {
+        fleet.run_until(begin + end);
+        return "# " + title + "\n" + std::string(notation) + recorder_.text();
+    }
+
+    /// Adds a caller that keeps its flow and sends a request every 1.5 s.
+    void add_caller() {
+        callers_.push_back(fleet.add_caller(service, true).options().address);
+    }
+
+    /// Ends or begins an outage of the configuration service.
+    void set_configuration(bool is_up) {
+        fleet.note(
+            {.what = is_up ? seen::service_healthy : seen::service_impaired});
+        fleet.configuration.set_state(is_up ? fake_configuration::state::healthy
+                                            : fake_configuration::state::down);
+    }
+
+    /// The agent that holds the flow of the first caller.
+    [[nodiscard]] endpoint agent() {
+        auto const cookie = fleet.caller_at(callers_.front())->cookie();
+        return cookie ? cookie->agent : endpoint{};
+    }
+
+    /// Calls `then` as soon as some but not all processes hold the newest
+    /// revision of `section`.
+    void when_views_differ(std::string const& section, bool balancers_only,
+        std::function<void()> then) {
+        auto const newest = fleet.configuration.latest(section)->held;
+        std::size_t informed = 0;
+        std::size_t others = 0;
+        for (bool const is_balancer : {true, false})
+            for (auto const& it : fleet.endpoints(is_balancer)) {
+                if (balancers_only && !is_balancer)
+                    continue;
+                auto const held = fleet.find(it)->view().find(section);
+                ++(held && held->held == newest ? informed : others);
+            }
+        if (informed > 0 && others > 0)
+            return then();
+        fleet.queue.after(1ms, [this, section, balancers_only, then] {
+            when_views_differ(section, balancers_only, then);
+        });
+    }
+
+private:
+    fakes::action_filter filter_;
+
+public:
+    fakes::world fleet;
+
+private:
+    session_recorder recorder_{fleet};
+    std::vector<endpoint> callers_;
+};
+
+} // namespace
+
+std::string drain_under_load() {
+    session it(1);
+    it.at(0ms, [&] { it.add_caller(); });
+    it.at(0ms, [&] { it.add_caller(); });
+    it.at(
+        200ms, [&] { it.fleet.drain(it.fleet.backend_of(it.agent()), true); });
+    return it.run("Drain of the backend server of caller-1 under load", 5s);
+}
+
+std::string domain_out_and_back() {
+    session it(2);
+    domain_id domain = 0;
+    it.at(0ms, [&] { it.add_caller(); });
+    it.at(1s, [&] {
+        domain = it.fleet.domain_of(it.agent());
+        it.fleet.set_domain(domain, true);
+    });
+    it.at(5s, [&] { it.fleet.set_domain(domain, false); });
+    it.at(8s, [&] { it.add_caller(); });
+    return it.run("Failure domain of caller-1 out and back", 9s);
+}
+
+std::string order_through_two_balancers() {
+    session it(15);
+    it.at(0ms, [&] {
+        it.fleet.drain(3, true);
+        it.when_views_differ(std::string(service_name), true, [&] {
+            it.fleet.faults.duplicated = 1;
+            it.fleet.note({.what = seen::packet_fault});
+            it.add_caller();
+            it.fleet.queue.after(150ms, [&] { it.fleet.faults = {}; });
+        });
+    });
+    return it.run("An order repeated through two balancers with different "
+                  "views: every datagram arrives twice for 150 ms",
+        1500ms);
+}
+
+std::string agent_restart_during_order() {
+    session it(4);
+    bool has_struck = false;
+    it.fleet.on_milestone = [&](endpoint, milestone reached) {
+        if (reached != milestone::dispatched || has_struck)
+            return;
+        has_struck = true;
+        // The core that dispatched is still at work at this time.
+        it.fleet.queue.after(20ms, [&] {
+            auto const agent = it.agent();
+            it.fleet.kill(agent);
+            it.fleet.queue.after(10ms, [&, agent] { it.fleet.restart(agent); });
+        });
+    };
+    it.at(0ms, [&] { it.add_caller(); });
+    return it.run("Agent restart in the middle of an order", 5s);
+}
+
+std::string edit_during_outage() {
+    session it(5);
+    it.at(0ms, [&] { it.add_caller(); });
+    it.at(500ms, [&] { it.set_configuration(false); });
+    it.at(
+        700ms, [&] { it.fleet.drain(it.fleet.backend_of(it.agent()), true); });
+    it.at(1s, [&] {
+        it.set_configuration(true);
+        it.when_views_differ(std::string(service_name), false,
+            [&] { it.set_configuration(false); });
+    });
+    return it.run("Edit during an outage of the configuration service, read "
+                  "by a part of the fleet in a short gap, then spread by peers",
+        5s);
+}
+
+std::string split_and_heal() {
+    session it(6);
+    std::vector<endpoint> part;
+    it.at(0ms, [&] { it.add_caller(); });
+    it.at(1s, [&] {
+        part = {it.fleet.endpoints(true).front(), it.agent()};
+        for (auto const& process : part)
+            it.fleet.set_group(process, 1);
+    });
+    it.at(1500ms, [&] { it.fleet.edit_domains(); });
+    it.at(5s, [&] {
+        for (auto const& process : part)
+            it.fleet.set_group(process, 0);
+    });
+    return it.run("Split of the fleet, an edit during it, and heal", 8s);
+}
+
+} // namespace radishspread::golden
