--- a/packages/wire/include/radishspread/wire/rs_datagram_events.hpp
+++ b/packages/wire/include/radishspread/wire/rs_datagram_events.hpp
@@ -9,9 +9,9 @@
 
 /// Numbered events about datagrams; logged at a bounded rate.
 namespace datagram_event {
-inline constexpr std::uint16_t rejected = 1500;
-inline constexpr std::uint16_t wrong_tag = 1501;
-inline constexpr std::uint16_t not_encoded = 1502;
+inline constexpr std::uint16_t rejected = 1510;
+inline constexpr std::uint16_t wrong_tag = 1511;
+inline constexpr std::uint16_t not_encoded = 1512;
 } // namespace datagram_event
 
 inline constexpr std::array datagram_events{
