Fix clang-tidy findings in the fake process

Ruled out: suppressing them, since the change is three lines. Change: const references and reserve. Conclusion: no behaviour changes.

--- a/tests/fakes/rs_process.cpp
+++ b/tests/fakes/rs_process.cpp
@@ -50,7 +50,7 @@
     };
 }
 
-void process::learn(section_ptr value, std::string name, endpoint peer) {
+void process::learn(section_ptr value, std::string const& name, endpoint peer) {
     if (value)
         value = world_.filter().learns(value);
     if (value)
@@ -71,7 +71,7 @@
             guarded([key](process& it) { it.learn(nullptr, key, {}); }));
     world_.configuration.read(
         name, [owner = &world_, at = facts_.self, life = facts_.life, key](
-                  section_ptr value) {
+                  section_ptr const& value) {
             auto* const it = owner->find(at);
             if (it != nullptr && it->facts().life == life)
                 it->post([it, value, key] { it->learn(value, key, {}); });
@@ -126,6 +126,7 @@
     world_.queue.after(stream_setup + 2 * world_.delay(*this, *other),
         guarded([peer, held](process& it) {
             std::vector<digest_entry> changes;
+            changes.reserve(held.size());
             for (auto const& [name, revision] : held)
                 changes.push_back({name, revision});
             it.on(watch_event{.changes = changes, .peer = peer});
--- a/tests/fakes/rs_process.hpp
+++ b/tests/fakes/rs_process.hpp
@@ -79,7 +79,7 @@
     wire::encoder encoder_{shared_key};
 
 private:
-    void learn(section_ptr value, std::string name, endpoint peer);
+    void learn(section_ptr value, std::string const& name, endpoint peer);
     [[nodiscard]] std::function<void()> guarded(
         std::function<void(process&)> action);
 
