Bench: flows broken by planned change, beside three baselines

Cause: no command measures what the routing policy gains over simpler ones. Ruled out: routing the fake fleet's packets by a baseline; agents would reset the flows, so later packets would differ between policies. The baselines are evaluated on the packets of one run instead, with the same balancers' views. No file under packages/ is changed.

--- /dev/null
+++ b/bench/bench_main.cpp
@@ -0,0 +1,31 @@
+#include <bench/rs_planned_change.hpp>
+#include <bench/rs_report.hpp>
+
+#include <CLI/CLI.hpp>
+
+#include <cstdio>
+
+using namespace radishspread::bench;
+
+int main(int argc, char** argv) {
+    CLI::App app("Prints all measurements; exit status 0 whatever they are.");
+    bool is_quick = false;
+    std::string json_file;
+    std::uint64_t seed = 1;
+    app.add_flag("--quick", is_quick, "smaller runs, under 60 s in total");
+    app.add_option("--json", json_file, "write all figures to this file");
+    app.add_option("--seed", seed, "seed of all runs in virtual time");
+    CLI11_PARSE(app, argc, argv);
+
+    std::vector<table> all;
+    auto add = [&](table it) {
+        print(it);
+        all.push_back(std::move(it));
+    };
+    add(measure_planned_change(seed, is_quick));
+    if (!json_file.empty() && !write_json(json_file, seed, all)) {
+        std::fprintf(stderr, "cannot write %s\n", json_file.c_str());
+        return 2;
+    }
+    return 0;
+}
--- /dev/null
+++ b/bench/rs_baselines.cpp
@@ -0,0 +1,84 @@
+#include <bench/rs_baselines.hpp>
+
+#include <radishspread/core/rs_candidate_selection.hpp>
+
+#include <algorithm>
+
+namespace radishspread::bench {
+
+namespace {
+
+std::vector<backend_entry const*> present(
+    document const& view, service_id service) {
+    std::vector<backend_entry const*> found;
+    auto const* const section = view.service(service);
+    if (section == nullptr)
+        return found;
+    for (auto const& it : section->backend_servers) {
+        auto const status = eligibility(
+            it, [&](domain_id id) { return view.is_out(id); },
+            [&](std::string_view name) { return view.is_leaving(name); });
+        if (status == candidate_status::ranked_lower)
+            found.push_back(&it);
+    }
+    return found;
+}
+
+} // namespace
+
+baseline_observer::place baseline_observer::find_place(endpoint agent) const {
+    auto const* const it = world_->find(agent);
+    return {agent, it == nullptr ? 0 : it->facts().incarnation};
+}
+
+std::array<baseline_observer::place, baseline_count> baseline_observer::choose(
+    fakes::process& balancer, flow_key const& key) {
+    auto const all = present(balancer.view(), key.service);
+    std::array<place, baseline_count> chosen;
+    if (all.empty())
+        return chosen;
+    auto const hash = hash_value(key);
+    chosen[0] = find_place(all[hash % all.size()]->agent);
+    candidate_table table;
+    for (auto const* const it : all)
+        table.add(*it);
+    auto const stable = table.select(hash, 0).front().agent;
+    chosen[1] = find_place(stable);
+    auto& flows = tables_[balancer.facts().incarnation];
+    chosen[2] = find_place(flows.try_emplace(key, stable).first->second);
+    return chosen;
+}
+
+void baseline_observer::balancer_forward(endpoint& /*to*/, forward& it) {
+    auto* const balancer = world_->find(it.reply_to);
+    if (balancer == nullptr)
+        return;
+    flow_key const key{it.packet.service, it.caller, it.packet.flow};
+    auto& flow = flows_[key];
+    auto const chosen = choose(*balancer, key);
+    if (it.packet.kind == packet_kind::open) {
+        // A repeated opening replaces the earlier one until a packet follows.
+        if (!flow.is_established)
+            flow.opened = chosen;
+        return;
+    }
+    flow.is_established = true;
+    for (std::size_t n = 0; n < baseline_count; ++n)
+        if (chosen[n] != flow.opened[n])
+            flow.is_broken[n] = true;
+}
+
+std::uint64_t baseline_observer::broken(baseline it) const {
+    auto const n = static_cast<std::size_t>(it);
+    return static_cast<std::uint64_t>(
+        std::count_if(flows_.begin(), flows_.end(),
+            [&](auto const& entry) { return entry.second.is_broken[n]; }));
+}
+
+std::uint64_t baseline_observer::flows() const {
+    return static_cast<std::uint64_t>(
+        std::count_if(flows_.begin(), flows_.end(),
+            [](auto const& entry) { return entry.second.is_established; }));
+}
+
+} // namespace radishspread::bench
--- /dev/null
+++ b/bench/rs_baselines.hpp
@@ -0,0 +1,67 @@
+#ifndef RADISHSPREAD_BENCH_RS_BASELINES_HPP
+#define RADISHSPREAD_BENCH_RS_BASELINES_HPP
+
+#include <fakes/rs_world.hpp>
+
+#include <array>
+#include <string_view>
+#include <unordered_map>
+
+namespace radishspread::bench {
+
+/// Routing policies that the chosen one is compared with. None forwards
+/// between agents.
+enum class baseline : std::uint8_t {
+    modulo,      ///< Flow hash modulo the backend servers in the view.
+    stable,      ///< Weighted rendezvous hash over the view.
+    flow_tables, ///< The same, remembered in a table at each balancer.
+};
+
+inline constexpr std::size_t baseline_count = 3;
+inline constexpr std::array<std::string_view, baseline_count> baseline_names{
+    "modulo hash", "stable hash, no agent forwarding",
+    "stable hash, flow tables per balancer"};
+
+/// Evaluates the baselines on the packets of a run: for each packet that a
+/// balancer forwards, the agent that each baseline would choose with the same
+/// balancer's view at that moment. The packets themselves go where the chosen
+/// policy sends them, so all policies see the same seeds, faults and packets.
+class baseline_observer final : public fakes::action_filter {
+public:
+    /// Must be called before the run begins.
+    void observe(fakes::world& in) { world_ = &in; }
+
+    void balancer_forward(endpoint& to, forward& it) override;
+
+    /// Flows with a packet after their opening that the baseline would have
+    /// sent to another agent process than the opening.
+    [[nodiscard]] std::uint64_t broken(baseline it) const;
+    /// Flows that sent a packet after their opening.
+    [[nodiscard]] std::uint64_t flows() const;
+
+private:
+    /// An agent process; an agent that is gone has incarnation 0.
+    struct place {
+        endpoint agent;
+        incarnation_id incarnation = 0;
+        friend bool operator==(place const&, place const&) = default;
+    };
+    struct flow_state {
+        std::array<place, baseline_count> opened;
+        std::array<bool, baseline_count> is_broken{};
+        bool is_established = false;
+    };
+    using flow_table = std::unordered_map<flow_key, endpoint, flow_key_hash>;
+
+    [[nodiscard]] place find_place(endpoint agent) const;
+    [[nodiscard]] std::array<place, baseline_count> choose(
+        fakes::process& balancer, flow_key const& key);
+
+    fakes::world* world_ = nullptr;
+    std::unordered_map<flow_key, flow_state, flow_key_hash> flows_;
+    std::unordered_map<incarnation_id, flow_table> tables_;
+};
+
+} // namespace radishspread::bench
+
+#endif
--- /dev/null
+++ b/bench/rs_planned_change.cpp
@@ -0,0 +1,190 @@
+#include <bench/rs_planned_change.hpp>
+
+#include <bench/rs_baselines.hpp>
+
+#include <algorithm>
+
+namespace radishspread::bench {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+using fakes::deployment;
+using fakes::seen;
+using fakes::world;
+
+// The fleet needs 2.5 s to read its sections with jitter.
+constexpr instant load_begin{2500ms};
+constexpr instant change_begin{6s};
+/// Within one round, each service has one backend server replaced.
+constexpr duration round_time = 12s;
+constexpr duration drain_time = 5s; ///< From draining to stopping the agent.
+constexpr duration edit_interval = 5s;
+constexpr duration slowest_view = 3s;
+constexpr duration stop_deadline = 10s;
+constexpr duration settle_time = 20s;
+constexpr std::uint32_t long_flows_per_service = 6;
+constexpr duration short_flow_interval = 400ms;
+
+struct change_result {
+    std::uint64_t flows = 0;
+    std::uint64_t broken = 0;
+    std::uint64_t unknown = 0;
+    std::uint64_t over_slots = 0;
+    std::array<std::uint64_t, baseline_count> baselines{};
+};
+
+/// One run of a deployment through its planned changes.
+class change_run {
+public:
+    change_run(deployment const& fleet, std::uint64_t seed)
+        : world_(fleet, seed, observer_) {
+        observer_.observe(world_);
+    }
+
+    change_result run() {
+        auto const& sizes = world_.fleet().backends_per_service;
+        auto const rounds = *std::max_element(sizes.begin(), sizes.end());
+        change_end_ = change_begin + rounds * round_time;
+        world_.queue.at(load_begin, [this] { begin_load(); });
+        plan_backend_servers();
+        plan_balancers();
+        world_.queue.at(change_begin, [this] { edit(); });
+        world_.run_until(change_end_ + settle_time);
+        return make_result();
+    }
+
+private:
+    void begin_load() {
+        auto const services = world_.fleet().backends_per_service.size();
+        for (service_id id = 1; id <= services; ++id) {
+            for (std::uint32_t n = 0; n < long_flows_per_service; ++n)
+                world_.add_caller(id, true);
+            add_short_flow(id);
+        }
+    }
+
+    void add_short_flow(service_id id) {
+        world_.add_caller({.service = id, .requests = 3});
+        if (world_.queue.now() < change_end_)
+            world_.queue.after(
+                short_flow_interval, [this, id] { add_short_flow(id); });
+    }
+
+    /// The services take their turns at different times of a round.
+    void plan_backend_servers() {
+        auto const& sizes = world_.fleet().backends_per_service;
+        backend_id first = 1;
+        for (std::size_t service = 0; service < sizes.size(); ++service) {
+            auto const offset =
+                round_time * service / static_cast<std::int64_t>(sizes.size());
+            for (std::uint32_t n = 0; n < sizes[service]; ++n)
+                world_.queue.at(change_begin + n * round_time + offset,
+                    [this, id = first + n] { replace_backend_server(id); });
+            first += sizes[service];
+        }
+    }
+
+    void plan_balancers() {
+        auto const n = world_.fleet().balancers;
+        for (std::uint32_t i = 0; i < n; ++i)
+            world_.queue.at(
+                change_begin + (change_end_ - change_begin) * i / n, [this, i] {
+                    auto const at = fakes::balancer_endpoint(i);
+                    world_.stop(at, stop_deadline);
+                    restart_when_finished(at, 0);
+                });
+    }
+
+    void replace_backend_server(backend_id id) {
+        world_.drain(id, true);
+        world_.queue.after(drain_time, [this, id] {
+            world_.stop(fakes::agent_endpoint(id), stop_deadline);
+            restart_when_finished(fakes::agent_endpoint(id), id);
+        });
+    }
+
+    /// `drained` is the backend server that takes flows again, or 0.
+    void restart_when_finished(endpoint process, backend_id drained) {
+        world_.queue.after(500ms, [this, process, drained] {
+            if (world_.find(process) != nullptr)
+                return restart_when_finished(process, drained);
+            world_.restart(process);
+            if (drained != 0)
+                world_.drain(drained, false);
+        });
+    }
+
+    void edit() {
+        world_.uneven_delay = slowest_view;
+        world_.edit_domains();
+        if (world_.queue.now() < change_end_)
+            world_.queue.after(edit_interval, [this] { edit(); });
+    }
+
+    [[nodiscard]] change_result make_result() const {
+        change_result made{.flows = observer_.flows()};
+        for (auto const& it : world_.log) {
+            made.broken += it.what == seen::flow_lost && it.flag ? 1 : 0;
+            made.unknown += it.what == seen::request_ended &&
+                                    it.result == request_result::unknown
+                                ? 1
+                                : 0;
+            made.over_slots += it.what == seen::over_capacity ? 1 : 0;
+        }
+        for (std::size_t n = 0; n < baseline_count; ++n)
+            made.baselines[n] = observer_.broken(static_cast<baseline>(n));
+        return made;
+    }
+
+    baseline_observer observer_;
+    world world_;
+    instant change_end_;
+};
+
+deployment make_slice(bool is_quick) {
+    auto made = fakes::balkonbloei();
+    made.name = is_quick ? "reduced slice (15 balancers, 135 backend servers, "
+                           "12 services)"
+                         : "slice (60 balancers, 540 backend servers, 48 "
+                           "services)";
+    std::uint32_t const quarter = is_quick ? 1 : 4;
+    made.balancers = 15 * quarter;
+    made.backends_per_service.assign(3 * quarter, 12);
+    made.backends_per_service.insert(
+        made.backends_per_service.end(), 9 * quarter, 11);
+    return made;
+}
+
+void add_figures(table& to, std::string const& name, change_result const& it) {
+    auto add = [&](std::string const& what, std::uint64_t value,
+                   std::optional<target> bound = std::nullopt) {
+        to.figures.push_back(
+            {name + ": " + what, static_cast<double>(value), "", bound});
+    };
+    add("flows", it.flows);
+    add("broken, chosen policy", it.broken, at_most(0));
+    for (std::size_t n = 0; n < baseline_count; ++n)
+        add("broken, " + std::string(baseline_names[n]), it.baselines[n]);
+    add("requests unknown, chosen policy", it.unknown, at_most(0));
+    add("runs over slots or starting bound", it.over_slots, at_most(0));
+}
+
+} // namespace
+
+table measure_planned_change(std::uint64_t seed, bool is_quick) {
+    table made{.title = "Flows broken by planned change",
+        .note = "Every balancer replaced, every backend server drained, "
+                "stopped and started, edits every 5 s,\nviews up to 3 s apart. "
+                "Baselines: the same packets routed with the same views."};
+    auto const slice = make_slice(is_quick);
+    for (auto const& it : {fakes::balkonbloei(), fakes::nashama(), slice}) {
+        auto const run = std::make_unique<change_run>(it, seed);
+        add_figures(made, it.name.substr(0, it.name.find(' ')), run->run());
+    }
+    made.note += "\nslice: " + slice.name + ".";
+    return made;
+}
+
+} // namespace radishspread::bench
--- /dev/null
+++ b/bench/rs_report.hpp
@@ -0,0 +1,51 @@
+#ifndef RADISHSPREAD_BENCH_RS_REPORT_HPP
+#define RADISHSPREAD_BENCH_RS_REPORT_HPP
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace radishspread::bench {
+
+/// Bound on a figure.
+struct target {
+    enum class kind : std::uint8_t { at_most, at_least };
+    kind relation = kind::at_most;
+    double value = 0;
+};
+
+[[nodiscard]] inline target at_most(double value) {
+    return {target::kind::at_most, value};
+}
+[[nodiscard]] inline target at_least(double value) {
+    return {target::kind::at_least, value};
+}
+
+/// One measured figure; a figure without a value was not measured.
+struct figure {
+    std::string name;
+    std::optional<double> value;
+    std::string unit;
+    std::optional<target> bound;
+};
+
+/// All figures of one measurement, with the conditions in `note`.
+struct table {
+    std::string title;
+    std::string note;
+    std::vector<figure> figures;
+};
+
+/// "met", "not met", "no target" or "not measured".
+[[nodiscard]] std::string mark_of(figure const& it);
+
+void print(table const& it);
+
+/// Writes all tables as JSON; false if the file cannot be written.
+[[nodiscard]] bool write_json(
+    std::string const& file, std::uint64_t seed, std::vector<table> const& all);
+
+} // namespace radishspread::bench
+
+#endif
--- a/tests/fakes/rs_deployment.cpp
+++ b/tests/fakes/rs_deployment.cpp
@@ -20,6 +20,11 @@
         .to_callers = 1ms};
 }
 
+std::uint32_t slots_of(deployment const& it, backend_id id) {
+    auto const& pattern = it.slot_pattern;
+    return pattern.empty() ? it.slots : pattern[id % pattern.size()];
+}
+
 endpoint balancer_endpoint(std::uint32_t number) {
     return {balancer_network + 1 + number, 9000};
 }
@@ -53,7 +58,7 @@
             .domain = domain,
             .domain_name = "domain-" + std::to_string(domain),
             .agent = agent_endpoint(id),
-            .slots = it.slots,
+            .slots = slots_of(it, id),
             .connections = it.connections});
     }
     return made;
--- a/tests/fakes/rs_deployment.hpp
+++ b/tests/fakes/rs_deployment.hpp
@@ -17,12 +17,18 @@
     std::uint16_t failure_domains = 3;
     std::uint32_t balancers = 3;
     std::uint32_t slots = 7;
+    /// Slots by backend server number, repeated; empty: `slots` for all.
+    std::vector<std::uint32_t> slot_pattern;
     std::uint32_t connections = 2000;
     std::vector<std::uint32_t> backends_per_service{7, 3};
     duration between_domains = std::chrono::microseconds(500);
     duration to_callers = std::chrono::milliseconds(3);
+    duration run_time = std::chrono::milliseconds(60); ///< Mean of a request.
 };
 
+/// Slots of one backend server.
+[[nodiscard]] std::uint32_t slots_of(deployment const& it, backend_id id);
+
 [[nodiscard]] deployment balkonbloei();
 [[nodiscard]] deployment nashama();
 
--- a/tests/fakes/rs_fake_caller.cpp
+++ b/tests/fakes/rs_fake_caller.cpp
@@ -74,6 +74,8 @@
             make(seen::not_run_replied, sent_[reply.request].payload.id));
     session_->handle(world_.queue.now(), reply, *this);
     note_cookie();
+    if (options_.is_prompt)
+        continue_flow();
 }
 
 void fake_caller::note_cookie() {
@@ -105,7 +107,15 @@
         return;
     session_->tick(now, *this);
     note_cookie();
-    if (is_open() && now >= next_request_)
+    continue_flow();
+}
+
+void fake_caller::continue_flow() {
+    if (is_finished_ || !session_ || session_->is_lost() || !is_open())
+        return;
+    bool const may_close = options_.is_prompt && !options_.is_long &&
+                           requests_sent_ >= options_.requests;
+    if (may_close || world_.queue.now() >= next_request_)
         next_request();
 }
 
@@ -138,7 +148,8 @@
                     it.body == make_answer(ended.payload);
     world_.note(observed);
     world_.reached(options_.address, milestone::answered);
-    bool const may_retry = it.result == request_result::not_run &&
+    bool const may_retry = options_.retries &&
+                           it.result == request_result::not_run &&
                            (ended.payload.id & attempt_mask) + 1 < max_attempts;
     if (may_retry && session_ && !session_->is_lost() && !is_finished_) {
         auto again = ended;
--- a/tests/fakes/rs_fake_caller.hpp
+++ b/tests/fakes/rs_fake_caller.hpp
@@ -20,6 +20,10 @@
     duration pause = std::chrono::milliseconds(1500); ///< Between requests.
     std::uint32_t requests = 1; ///< Of a short flow, which then closes.
     duration deadline = std::chrono::seconds(4); ///< Of one request.
+    /// Goes on as soon as a reply arrives, instead of at the next tick, which
+    /// would synchronise all callers.
+    bool is_prompt = false;
+    bool retries = true; ///< Sends a request that was not run again.
 };
 
 /// A caller with one flow at a time. It sends a request that ended as "not
@@ -62,6 +66,7 @@
 
     void start(sent_request const& it);
     void next_request();
+    void continue_flow();
     void note_cookie();
     [[nodiscard]] observation make(seen what, identity id = 0) const;
 
--- a/tests/fakes/rs_world.cpp
+++ b/tests/fakes/rs_world.cpp
@@ -51,7 +51,8 @@
             fake_backend_options{.id = id,
                 .service = service_of(fleet_, id),
                 .domain = domain_of(agent_endpoint(id)),
-                .slots = fleet_.slots,
+                .slots = slots_of(fleet_, id),
+                .run_time = fleet_.run_time,
                 .seed = seed ^ id});
         add_agent(id);
     }
@@ -338,11 +339,13 @@
 }
 
 fake_caller& world::add_caller(service_id service, bool is_long) {
-    endpoint const at{0x0a030000 + ++next_caller_, 4000};
-    auto& it = callers_[at];
-    it = std::make_unique<fake_caller>(
-        *this, fake_caller_options{
-                   .service = service, .address = at, .is_long = is_long});
+    return add_caller({.service = service, .is_long = is_long});
+}
+
+fake_caller& world::add_caller(fake_caller_options options) {
+    options.address = {0x0a030000 + ++next_caller_, 4000};
+    auto& it = callers_[options.address];
+    it = std::make_unique<fake_caller>(*this, options);
     it->open();
     return *it;
 }
--- a/tests/fakes/rs_world.hpp
+++ b/tests/fakes/rs_world.hpp
@@ -74,6 +74,8 @@
 
     // Callers.
     fake_caller& add_caller(service_id service, bool is_long);
+    /// The same with all options; the world sets the address.
+    fake_caller& add_caller(fake_caller_options options);
     [[nodiscard]] fake_caller* caller_at(endpoint it);
     [[nodiscard]] std::vector<fake_caller*> long_callers();
     void send_from_caller(
