Bench: imbalance, failure domain outage, cost and memory tables

Cause: the targets on balance, service over time, routing cost and memory had no measurement. Ruled out: callers that act at the tick of the world; they all send at once and distort the load, so the callers of the new tables act on replies. Change: four more tables, JSON and SVG output; the world skips the search for a request's caller when nobody waits for milestones. Conclusion: control traffic and packets per second remain to be measured.

--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -1,5 +1,9 @@
+#include <bench/rs_cost.hpp>
+#include <bench/rs_domain_outage.hpp>
+#include <bench/rs_imbalance.hpp>
 #include <bench/rs_planned_change.hpp>
 #include <bench/rs_report.hpp>
+#include <bench/rs_service_plot.hpp>
 
 #include <CLI/CLI.hpp>
 
@@ -11,9 +15,12 @@
     CLI::App app("Prints all measurements; exit status 0 whatever they are.");
     bool is_quick = false;
     std::string json_file;
+    std::string plot_file;
     std::uint64_t seed = 1;
     app.add_flag("--quick", is_quick, "smaller runs, under 60 s in total");
     app.add_option("--json", json_file, "write all figures to this file");
+    app.add_option(
+        "--plot", plot_file, "write an SVG of service over time to this file");
     app.add_option("--seed", seed, "seed of all runs in virtual time");
     CLI11_PARSE(app, argc, argv);
 
@@ -23,6 +30,16 @@
         all.push_back(std::move(it));
     };
     add(measure_planned_change(seed, is_quick));
+    add(measure_imbalance(seed, is_quick));
+    auto const outage = measure_domain_outage(seed);
+    for (auto const& it : outage.tables)
+        add(it);
+    if (!plot_file.empty() && !write_plot(plot_file, outage.panels)) {
+        std::fprintf(stderr, "cannot write %s\n", plot_file.c_str());
+        return 2;
+    }
+    add(measure_cost(is_quick));
+    add(measure_memory());
     if (!json_file.empty() && !write_json(json_file, seed, all)) {
         std::fprintf(stderr, "cannot write %s\n", json_file.c_str());
         return 2;
--- a/bench/rs_report.cpp
+++ b/bench/rs_report.cpp
@@ -52,6 +52,12 @@
         std::printf("%-64s %10s %12s %-10s %s\n", row.name.c_str(),
             target_text(row).c_str(), value_text(row).c_str(), row.unit.c_str(),
             mark_of(row).c_str());
+    for (auto const& row : it.per_second) {
+        std::printf("%s, per second:", row.name.c_str());
+        for (auto const value : row.values)
+            std::printf(" %.0f", value);
+        std::printf("\n");
+    }
     std::fflush(stdout);
 }
 
@@ -70,8 +76,11 @@
                 entry["target"] = target_text(row);
             rows.push_back(std::move(entry));
         }
+        nlohmann::ordered_json per_second = nlohmann::ordered_json::object();
+        for (auto const& row : it.per_second)
+            per_second[row.name] = row.values;
         made["tables"].push_back({{"title", it.title}, {"note", it.note},
-            {"figures", std::move(rows)}});
+            {"figures", std::move(rows)}, {"per_second", per_second}});
     }
     std::ofstream out(file);
     out << made.dump(2) << '\n';
--- a/bench/rs_report.hpp
+++ b/bench/rs_report.hpp
@@ -30,11 +30,18 @@
     std::optional<target> bound;
 };
 
+/// Counts per second.
+struct series {
+    std::string name;
+    std::vector<double> values;
+};
+
 /// All figures of one measurement, with the conditions in `note`.
 struct table {
     std::string title;
     std::string note;
     std::vector<figure> figures;
+    std::vector<series> per_second;
 };
 
 /// "met", "not met", "no target" or "not measured".
--- /dev/null
+++ b/bench/rs_service_plot.hpp
@@ -0,0 +1,26 @@
+#ifndef RADISHSPREAD_BENCH_RS_SERVICE_PLOT_HPP
+#define RADISHSPREAD_BENCH_RS_SERVICE_PLOT_HPP
+
+#include <bench/rs_report.hpp>
+
+#include <string>
+#include <vector>
+
+namespace radishspread::bench {
+
+/// One panel of the plot: service over time around a failure domain's absence.
+struct plot_panel {
+    std::string title;
+    std::vector<series> lines; ///< Requests per second, from second 0.
+    double out_from = 0;       ///< In seconds.
+    double out_to = 0;
+};
+
+/// Writes an SVG with the panels one below the other; false if the file cannot
+/// be written.
+[[nodiscard]] bool write_plot(
+    std::string const& file, std::vector<plot_panel> const& panels);
+
+} // namespace radishspread::bench
+
+#endif
--- a/tests/fakes/rs_world.cpp
+++ b/tests/fakes/rs_world.cpp
@@ -371,6 +371,8 @@
 }
 
 void world::reached_request(identity id, milestone what) {
+    if (!on_milestone)
+        return;
     for (auto const& [at, it] : callers_)
         if (it->owns(id))
             reached(at, what);
