--- a/bench/rs_core_fixture.cpp
+++ b/bench/rs_core_fixture.cpp
@@ -8,9 +8,9 @@
 constexpr endpoint caller{0x7f000001, 4000};
 
 template <class Content>
-section_ptr make_section(std::string name, Content content) {
-    return std::make_shared<section const>(section{
-        .name = std::move(name), .held = 1, .content = std::move(content)});
+section_ptr make_section(std::string const& name, Content content) {
+    return std::make_shared<section const>(
+        section{.name = name, .held = 1, .content = std::move(content)});
 }
 
 } // namespace
@@ -20,8 +20,8 @@
     made.push_back(make_section("domains", fakes::make_domains(fleet)));
     for (service_id id = 1; id <= fleet.backends_per_service.size(); ++id) {
         auto service = fakes::make_service(fleet, id);
-        auto name = "service/" + service.name;
-        made.push_back(make_section(std::move(name), std::move(service)));
+        auto const name = "service/" + service.name;
+        made.push_back(make_section(name, std::move(service)));
     }
     return made;
 }
@@ -47,6 +47,7 @@
           .document = {.self = self, .is_balancer = true}, .key = bench_key})) {
     core_->start(now, sink);
     std::vector<digest_entry> index;
+    index.reserve(sections.size());
     for (auto const& it : sections)
         index.push_back({it->name, it->held});
     core_->handle(now, watch_event{.index = 1, .changes = index}, sink);
--- a/bench/rs_cost.cpp
+++ b/bench/rs_cost.cpp
@@ -53,7 +53,7 @@
         return state.SkipWithError("packets were not forwarded");
     std::size_t n = 0;
     auto const before = allocation_count();
-    for (auto _ : state)
+    while (state.KeepRunning())
         it.handle(events[n++ % distinct_flows]);
     state.counters["allocations"] =
         static_cast<double>(allocation_count() - before) /
@@ -71,7 +71,7 @@
     }
     auto const packet = make_opening(1);
     std::size_t n = 0;
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         it.apply(edits[n++]);
         it.tick();
         it.handle(packet);
@@ -80,7 +80,7 @@
 
 void run_cold_start(benchmark::State& state) {
     auto const sections = make_sections(target_fleet());
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         ready_balancer it(sections);
         it.handle(make_opening(1));
         if (it.sink.forwards != 1)
@@ -112,7 +112,7 @@
 template <class Message>
 void run_encode(benchmark::State& state, Message const& it) {
     wire::encoder encoder(bench_key);
-    for (auto _ : state)
+    while (state.KeepRunning())
         benchmark::DoNotOptimize(encoder.encode(it).data());
 }
 
@@ -121,7 +121,7 @@
     wire::encoder encoder(bench_key);
     auto const data = encoder.encode(it);
     wire::peer_message out;
-    for (auto _ : state)
+    while (state.KeepRunning())
         if (wire::decode(bench_key, data, out))
             return state.SkipWithError("not decoded");
 }
@@ -131,7 +131,7 @@
     wire::encoder encoder(bench_key);
     auto const data = encoder.encode(it);
     Message out;
-    for (auto _ : state)
+    while (state.KeepRunning())
         if (wire::decode(data, out))
             return state.SkipWithError("not decoded");
 }
--- a/bench/rs_planned_change.cpp
+++ b/bench/rs_planned_change.cpp
@@ -149,8 +149,8 @@
                            "12 services)"
                          : "slice (60 balancers, 540 backend servers, 48 "
                            "services)";
-    std::uint32_t const quarter = is_quick ? 1 : 4;
-    made.balancers = 15 * quarter;
+    std::size_t const quarter = is_quick ? 1 : 4;
+    made.balancers = static_cast<std::uint32_t>(15 * quarter);
     made.backends_per_service.assign(3 * quarter, 12);
     made.backends_per_service.insert(
         made.backends_per_service.end(), 9 * quarter, 11);
--- a/bench/rs_service_plot.cpp
+++ b/bench/rs_service_plot.cpp
@@ -83,7 +83,9 @@
         char const* const axis = "stroke='black'";
         line(left, 0, left, plot_height, axis);
         line(left, plot_height, left + plot_width, plot_height, axis);
-        for (double value = 0; value <= largest_ + step_ / 2; value += step_) {
+        auto const steps = std::lround(largest_ / step_);
+        for (long n = 0; n <= steps; ++n) {
+            auto const value = static_cast<double>(n) * step_;
             line(left - 5, y(value), left, y(value), axis);
             text(left - 8, y(value) + 4, "end",
                 std::to_string(std::lround(value)));
