--- a/packages/core/include/radishspread/core/internal/rs_document_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_document_impl.hpp
@@ -19,6 +19,12 @@
 /// section, does not flood the configuration service.
 inline constexpr std::size_t max_reads = 16;
 
+/// Rate at which a balancer reads one host list again, in bytes/s. At the
+/// target size a list has 33 KB and changes every three minutes; reading each
+/// change would take 1.3 KB/s of the 2 KB/s for control. The agents, which
+/// enforce that a leaving host gets no new work, read theirs at once.
+inline constexpr std::size_t host_list_rate = 32;
+
 /// A watch answered sooner than this had a change waiting for it.
 inline constexpr duration prompt_answer = std::chrono::milliseconds(200);
 
@@ -82,9 +88,14 @@
     if (table_.unblocks_services())
         reads_.retry_refused_services(
             now + random_.up_to(options_.read_jitter));
+    if (options_.is_balancer && value->name.starts_with(internal::hosts_prefix))
+        host_reads_[value->name] =
+            now +
+            std::chrono::seconds(value->text.size() / internal::host_list_rate);
     // A revision may be newer and still not the newest, from a stale replica.
     if (reads_.finish_read(value->name, value->held))
-        reads_.reschedule(value->name, now);
+        reads_.reschedule(
+            value->name, std::max(now, earliest_read(value->name)));
     sink.section_in_force(table_.find(value->name));
 }
 
@@ -151,7 +162,8 @@
     duration delay, Sink& sink) {
     if (!needs(seen.name) || seen.held <= table_.held(seen.name))
         return;
-    if (!reads_.want(seen.name, seen.held, peer, now + delay) &&
+    auto const due = std::max(now + delay, earliest_read(seen.name));
+    if (!reads_.want(seen.name, seen.held, peer, due) &&
         full_log_.count(now) > 0)
         report(sink, document_event::section_over_bound, seen.name, seen.held);
 }
--- a/packages/core/include/radishspread/core/internal/rs_section_table.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_section_table.hpp
@@ -34,6 +34,8 @@
 
 /// Name of the section that lists the failure domains.
 inline constexpr std::string_view domains_name = "domains";
+/// Names of host lists begin with this.
+inline constexpr std::string_view hosts_prefix = "hosts/";
 
 /// Sections in effect, by name and by service. Revisions only grow. Failure
 /// domains of backend servers are numbered as the newest `domains` does, also
--- a/packages/core/include/radishspread/core/rs_document.hpp
+++ b/packages/core/include/radishspread/core/rs_document.hpp
@@ -15,6 +15,8 @@
 #include <radishspread/core/rs_time.hpp>
 #include <radishspread/core/rs_watch_event.hpp>
 
+#include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -138,6 +140,7 @@
 
     [[nodiscard]] bool needs(std::string_view name) const;
     [[nodiscard]] bool may_read(std::string_view name) const;
+    [[nodiscard]] instant earliest_read(std::string_view name) const;
     [[nodiscard]] bool is_settled() const;
     [[nodiscard]] bool covers_needs(peer_digest const& digest) const;
     [[nodiscard]] bool is_behind(peer_digest const& digest) const;
@@ -162,6 +165,8 @@
     bool is_started_ = false;
     instant last_event_;
     instant next_digest_;
+    /// Balancer: earliest time of the next read of each host list.
+    std::map<std::string, instant, std::less<>> host_reads_;
     instant next_index_; ///< Earliest time of the next pull of an index.
 };
 
--- a/packages/core/src/rs_document.cpp
+++ b/packages/core/src/rs_document.cpp
@@ -83,10 +83,18 @@
     if (name == internal::domains_name)
         return true;
     if (options_.is_balancer)
-        return name.starts_with("service/") || name.starts_with("hosts/");
+        return name.starts_with("service/") ||
+               name.starts_with(internal::hosts_prefix);
     return name == service_name_ || name == hosts_name_;
 }
 
+instant document::earliest_read(std::string_view name) const {
+    // A proof waits for every section that is behind.
+    auto const found = host_reads_.find(name);
+    bool const is_limited = proof_.is_proven && found != host_reads_.end();
+    return is_limited ? found->second : instant{};
+}
+
 bool document::may_read(std::string_view name) const {
     // The names of failure domains in a service's section are resolved when it
     // is parsed, so `domains` has to be in effect by then.
--- a/packages/core/tests/rs_document_test.cpp
+++ b/packages/core/tests/rs_document_test.cpp
@@ -301,3 +301,23 @@
     CHECK_TRUE(insert_result::table_full == insert("hosts/c", 0));
     CHECK_TRUE(insert_result::wrong_content == insert("domains", 0));
 }
+
+// Control traffic: a balancer that read each change of a long host list would
+// need most of its 2 KB/s for it. A short list is read without such a delay.
+TEST(document_reader, long_host_list_is_read_again_at_bounded_rate) {
+    prove();
+    auto const list = [&](char const* name, std::size_t size) {
+        return std::make_shared<section const>(section{.name = name,
+            .held = 2,
+            .text = std::string(size, ' '),
+            .content = hosts_section{}});
+    };
+    arrived(list("hosts/long", 3200));
+    arrived(list("hosts/short", 32));
+    watched({{"hosts/long", 3}, {"hosts/short", 3}});
+    step(4s);
+    CHECK_TRUE(sink.has_read("hosts/short", {}));
+    CHECK_FALSE(sink.has_read("hosts/long", {}));
+    step(97s);
+    CHECK_TRUE(sink.has_read("hosts/long", {}));
+}
--- a/tests/standins/rs_test_fleet.cpp
+++ b/tests/standins/rs_test_fleet.cpp
@@ -54,7 +54,9 @@
 }
 
 std::filesystem::path make_directory() {
-    auto name = (std::filesystem::temp_directory_path() / "radishspread-XXXXXX")
+    // mkdtemp replaces the six letters at the end.
+    auto name = (std::filesystem::temp_directory_path() /
+                 ("radishspread-" + std::string(6, 'X')))
                     .string();
     if (mkdtemp(name.data()) == nullptr)
         throw std::system_error(errno, std::generic_category(), "mkdtemp");
