Mend the linter's findings

Change: exceptions end in main, two parameters by reference, one index type, an unused using declaration.

--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -8,10 +8,13 @@
 #include <CLI/CLI.hpp>
 
 #include <cstdio>
+#include <exception>
 
 using namespace radishspread::bench;
 
-int main(int argc, char** argv) {
+namespace {
+
+int run_command(int argc, char** argv) {
     CLI::App app("Prints all measurements; exit status 0 whatever they are.");
     bool is_quick = false;
     std::string json_file;
@@ -46,3 +49,16 @@
     }
     return 0;
 }
+
+} // namespace
+
+int main(int argc, char** argv) {
+    try {
+        return run_command(argc, argv);
+    } catch (std::exception const& error) {
+        std::fprintf(stderr, "%s\n", error.what());
+    } catch (...) {
+        std::fprintf(stderr, "unknown error\n");
+    }
+    return 1;
+}
--- a/packages/runtime/src/rs_section_reader.cpp
+++ b/packages/runtime/src/rs_section_reader.cpp
@@ -68,7 +68,7 @@
     instant now, endpoint peer, std::string_view name) {
     peers_.get(now, peer, "/v1/sections/" + std::string(name),
         [this, peer, copy = std::string(name)](
-            section_response it) { finish_read(copy, peer, it); });
+            section_response const& it) { finish_read(copy, peer, it); });
 }
 
 void section_reader::pull_index(instant now, endpoint peer) {
--- a/tests/golden/rs_sessions.cpp
+++ b/tests/golden/rs_sessions.cpp
@@ -3,7 +3,6 @@
 
 namespace radishspread::golden {
 
-using fakes::fake_caller;
 using fakes::fake_configuration;
 using fakes::milestone;
 using fakes::seen;
@@ -72,7 +71,7 @@
     /// Calls `then` as soon as some but not all processes hold the newest
     /// revision of `section`.
     void when_views_differ(std::string const& section, bool balancers_only,
-        std::function<void()> then) {
+        std::function<void()> const& then) {
         auto const newest = fleet.configuration.latest(section)->held;
         std::size_t informed = 0;
         std::size_t others = 0;
--- a/tests/matrix/matrix_main.cpp
+++ b/tests/matrix/matrix_main.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <atomic>
 #include <cstdio>
+#include <exception>
 #include <fstream>
 #include <map>
 #include <set>
@@ -62,7 +63,7 @@
 void print_table(
     std::vector<case_id> const& cases, std::vector<outcome_row> const& rows) {
     std::map<std::pair<int, int>, std::pair<int, int>> cells;
-    std::map<int, std::pair<int, int>> reached;
+    std::map<std::size_t, std::pair<int, int>> reached;
     for (std::size_t i = 0; i < cases.size(); ++i) {
         bool const is_failing = !rows[i].violations.empty();
         std::set<std::uint8_t> const faults{
@@ -170,9 +171,7 @@
     return missed == 0 ? 0 : 1;
 }
 
-} // namespace
-
-int main(int argc, char** argv) {
+int run_command(int argc, char** argv) {
     CLI::App app("Runs the fault matrix on the decision cores.");
     std::string name;
     std::string red_file = "KNOWN-RED.txt";
@@ -190,3 +189,16 @@
         return run_one(name, with_mutation);
     return runs_mutants ? run_mutants() : run_matrix(red_file, lists_all);
 }
+
+} // namespace
+
+int main(int argc, char** argv) {
+    try {
+        return run_command(argc, argv);
+    } catch (std::exception const& error) {
+        std::fprintf(stderr, "%s\n", error.what());
+    } catch (...) {
+        std::fprintf(stderr, "unknown error\n");
+    }
+    return 1;
+}
