Peer and backend streams: no memcpy from an empty body

Cause: the undefined-behaviour sanitizer stopped the runtime tests in peer_server_connection::read_body: an empty body has a null pointer, which memcpy does not allow, even for no bytes. The same stood in backend_session. Change: std::copy_n in both places.

--- a/packages/runtime/src/rs_backend_session.cpp
+++ b/packages/runtime/src/rs_backend_session.cpp
@@ -110,7 +110,10 @@
         if (it == nullptr)
             return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
         auto const n = std::min(size, it->payload.size() - it->position);
-        std::memcpy(buf, it->payload.data() + it->position, n);
+        auto const* const from =
+            reinterpret_cast<std::uint8_t const*>(it->payload.data());
+        // An empty payload has no storage, which memcpy does not allow.
+        std::copy_n(from + it->position, n, buf);
         it->position += n;
         if (it->position == it->payload.size())
             *flags |= NGHTTP2_DATA_FLAG_EOF;
--- a/packages/runtime/src/rs_peer_server_connection.cpp
+++ b/packages/runtime/src/rs_peer_server_connection.cpp
@@ -83,7 +83,10 @@
         void*) {
         auto& it = *static_cast<peer_server_connection::stream*>(source->ptr);
         auto const n = std::min(size, it.body.size() - it.position);
-        std::memcpy(buf, it.body.data() + it.position, n);
+        auto const* const from =
+            reinterpret_cast<std::uint8_t const*>(it.body.data());
+        // An empty body has no storage, which memcpy does not allow.
+        std::copy_n(from + it.position, n, buf);
         it.position += n;
         if (it.position == it.body.size())
             *flags |= NGHTTP2_DATA_FLAG_EOF;
