One lookup of an agent's failure domain, one of a pending request

Cause: reading the change again: the fake world and the checker each held the same loop that maps an agent to its failure domain, and the caller session's finish() repeated its own find(). Change: fakes::domain_of serves both; finish() calls find().

--- a/packages/caller/include/radishspread/caller/internal/rs_caller_session_impl.hpp
+++ b/packages/caller/include/radishspread/caller/internal/rs_caller_session_impl.hpp
@@ -148,16 +148,15 @@
 template <class Sink>
 void caller_session::finish(
     request_id id, request_result result, reason why, Sink& sink) {
-    auto const it = std::find_if(pending_.begin(), pending_.end(),
-        [id](auto const& pending) { return pending.id == id; });
-    if (it == pending_.end())
+    auto* const it = find(id);
+    if (it == nullptr)
         return;
     finished_request done{.request = id, .result = result, .reason = why};
     if (result == request_result::answered) {
         done.status = it->answer.status();
         done.body = it->answer.take();
     }
-    pending_.erase(it);
+    pending_.erase(pending_.begin() + (it - pending_.data()));
     sink.finished(done);
 }
 
--- a/tests/fakes/rs_deployment.cpp
+++ b/tests/fakes/rs_deployment.cpp
@@ -79,4 +79,16 @@
     return "service/service-" + std::to_string(id);
 }
 
+domain_id domain_of(deployment const& fleet, endpoint agent) {
+    auto const id = agent.address - agent_endpoint(0).address;
+    backend_id first = 1;
+    for (auto const n : fleet.backends_per_service) {
+        if (id < first + n)
+            return static_cast<domain_id>(
+                (id - first) % fleet.failure_domains + 1);
+        first += n;
+    }
+    return 0;
+}
+
 } // namespace radishspread::fakes
--- a/tests/fakes/rs_deployment.hpp
+++ b/tests/fakes/rs_deployment.hpp
@@ -40,6 +40,9 @@
 [[nodiscard]] service_id service_of(deployment const& fleet, backend_id id);
 [[nodiscard]] std::string section_name(service_id id);
 
+/// Failure domain of an agent; 0 if the deployment has no such agent.
+[[nodiscard]] domain_id domain_of(deployment const& fleet, endpoint agent);
+
 /// Sections that describe the deployment.
 [[nodiscard]] domains_section make_domains(deployment const& it);
 [[nodiscard]] service_section make_service(
--- a/tests/fakes/rs_world.cpp
+++ b/tests/fakes/rs_world.cpp
@@ -66,15 +66,7 @@
 }
 
 domain_id world::domain_of(endpoint agent) const {
-    auto const id = backend_of(agent);
-    backend_id first = 1;
-    for (auto const n : fleet_.backends_per_service) {
-        if (id < first + n)
-            return static_cast<domain_id>(
-                (id - first) % fleet_.failure_domains + 1);
-        first += n;
-    }
-    return 0;
+    return fakes::domain_of(fleet_, agent);
 }
 
 std::vector<endpoint> world::endpoints(bool balancers) const {
--- a/tests/matrix/rs_checker.cpp
+++ b/tests/matrix/rs_checker.cpp
@@ -94,7 +94,8 @@
                 for (auto const at : deaths->second)
                     if (at >= it.at - 3s && at <= lost.at)
                         return true;
-            auto const outs = facts_.out.find(domain_of(it.process));
+            auto const outs =
+                facts_.out.find(fakes::domain_of(fleet_, it.process));
             if (outs != facts_.out.end())
                 for (auto const& span : outs->second)
                     if (span.overlaps(it.at, lost.at))
@@ -103,18 +104,6 @@
         return false;
     }
 
-    [[nodiscard]] domain_id domain_of(endpoint agent) const {
-        auto const id = agent.address - fakes::agent_endpoint(0).address;
-        backend_id first = 1;
-        for (auto const n : fleet_.backends_per_service) {
-            if (id < first + n)
-                return static_cast<domain_id>(
-                    (id - first) % fleet_.failure_domains + 1);
-            first += n;
-        }
-        return 0;
-    }
-
     void check_flows() { // P1
         for (auto const& it : log_)
             if (it.what == seen::flow_lost && it.flag && !is_explained(it))
