--- /dev/null
+++ b/packages/config/include/radishspread/config/rs_packet_settings.hpp
@@ -0,0 +1,47 @@
+#ifndef RADISHSPREAD_CONFIG_RS_PACKET_SETTINGS_HPP
+#define RADISHSPREAD_CONFIG_RS_PACKET_SETTINGS_HPP
+
+#include <radishspread/config/rs_fault.hpp>
+#include <radishspread/config/rs_settings.hpp>
+#include <radishspread/core/rs_endpoint.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace radishspread::config {
+
+/// Settings of a process that carries flows of opaque packets.
+struct packet_settings {
+    config::role role = config::role::balancer;
+    std::string name;
+    std::string failure_domain;
+    endpoint packet_address;     ///< UDP: callers' packets, or balancers'.
+    endpoint readiness_address;  ///< HTTP.
+    std::uint16_t peer_port = 0; ///< UDP and TCP, among our processes.
+    endpoint configuration_service;
+    std::vector<endpoint> peers; ///< Hosts of other processes; port unused.
+    duration stop_deadline = std::chrono::seconds(5);
+    endpoint backend_address;  ///< Agent: where its backend server receives.
+    endpoint outbound_address; ///< Agent: where its backend server sends to.
+    std::string service;       ///< Agent: name of its service.
+
+    friend bool operator==(
+        packet_settings const&, packet_settings const&) = default;
+};
+
+/// Result of parsing: a value only if there are no faults.
+struct parsed_packet_settings {
+    std::optional<packet_settings> value;
+    std::vector<fault> faults;
+};
+
+/// Parses and checks a whole settings file; `file` is used in faults only.
+[[nodiscard]] parsed_packet_settings parse_packet_settings(
+    std::string_view text, std::string_view file, role expected);
+
+} // namespace radishspread::config
+
+#endif
--- /dev/null
+++ b/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
@@ -0,0 +1,265 @@
+#ifndef RADISHSPREAD_CORE_INTERNAL_RS_PACKET_AGENT_IMPL_HPP
+#define RADISHSPREAD_CORE_INTERNAL_RS_PACKET_AGENT_IMPL_HPP
+
+#include <radishspread/core/rs_packet_agent.hpp>
+
+#include <algorithm>
+
+namespace radishspread {
+
+template <packet_sink Sink> void packet_agent::start(instant now, Sink&) {
+    last_event_ = now;
+    last_backend_packet_ = now;
+}
+
+template <packet_sink Sink>
+bool packet_agent::check_pause(instant now, Sink& sink) {
+    auto const gap = now - last_event_;
+    last_event_ = now;
+    if (gap <= options_.pause_limit)
+        return false;
+    sink.log({.number = packet_event::paused,
+        .value = gap / std::chrono::milliseconds(1)});
+    oldest_unanswered_ = {};
+    sink.refresh_view();
+    return true;
+}
+
+template <packet_sink Sink>
+void packet_agent::handle(instant now, endpoint from,
+    agent_packet const& message, flow_packet const& packet, Sink& sink) {
+    last_event_ = now;
+    balancers_[from] = now;
+    newest_routes_ = std::max(newest_routes_, message.route_version);
+    if (message.kind == agent_packet_kind::open)
+        on_open(now, from, message, packet, sink);
+    else if (message.service != options_.service)
+        send_not_held(from, message.flow,
+            message.kind == agent_packet_kind::locate, message.packet, sink);
+    else
+        on_packet(now, from, message, packet, sink);
+}
+
+template <packet_sink Sink>
+void packet_agent::decline(instant, endpoint to, agent_packet const& message,
+    refusal why, Sink& sink) {
+    sink.log({.number = packet_event::opening_declined,
+        .flow = message.flow,
+        .peer = to,
+        .why = why,
+        .version = message.route_version,
+        .value = static_cast<std::int64_t>(in_progress_)});
+    sink.send(to, {.kind = agent_packet_kind::declined,
+                      .why = why,
+                      .service = options_.service,
+                      .route_version = newest_routes_,
+                      .in_progress = static_cast<std::uint16_t>(in_progress_),
+                      .slots = static_cast<std::uint16_t>(slots()),
+                      .flows = static_cast<std::uint16_t>(open_),
+                      .flow = message.flow,
+                      .packet = message.packet});
+}
+
+template <packet_sink Sink>
+void packet_agent::on_open(instant now, endpoint from,
+    agent_packet const& message, flow_packet const& packet, Sink& sink) {
+    auto const known = flows_.find(message.flow);
+    bool const is_copy = known != flows_.end() &&
+                         known->second.state <= internal::held_state::open;
+    if (!is_copy) {
+        bool const is_full =
+            known == flows_.end() && flows_.size() >= options_.max_flows;
+        auto const why = is_full ? refusal::overloaded : judge(now, message);
+        if (why != refusal::none)
+            return decline(now, from, message, why, sink);
+    }
+    auto& it = insert(now, message.flow);
+    it.balancer = from;
+    it.last_packet = now;
+    if (!is_copy) {
+        it.opened_at = now;
+        it.told = {};
+        set_state(it, internal::held_state::opening);
+        set_outstanding(it, true);
+        if (oldest_unanswered_ == instant{})
+            oldest_unanswered_ = now;
+        sink.log({.number = packet_event::opening_taken,
+            .flow = message.flow,
+            .peer = from,
+            .version = message.route_version,
+            .value = static_cast<std::int64_t>(open_)});
+    } else if (it.state != internal::held_state::opening) {
+        // The balancer asks again: the earlier answer may be lost.
+        send_held(from, message.flow, it, sink);
+    }
+    sink.send_backend(packet.bytes);
+}
+
+template <packet_sink Sink>
+void packet_agent::send_held(endpoint to, packet_flow const& flow,
+    internal::held_flow const& it, Sink& sink) {
+    sink.send(to, {.kind = agent_packet_kind::held,
+                      .service = options_.service,
+                      .route_version = newest_routes_,
+                      .in_progress = static_cast<std::uint16_t>(in_progress_),
+                      .slots = static_cast<std::uint16_t>(slots()),
+                      .flows = static_cast<std::uint16_t>(open_),
+                      .handshake = it.handshake,
+                      .flow = flow});
+}
+
+template <packet_sink Sink>
+void packet_agent::send_not_held(endpoint to, packet_flow const& flow,
+    bool was_located, std::span<std::byte const> bytes, Sink& sink) {
+    sink.send(to, {.kind = agent_packet_kind::not_held,
+                      .why = refusal::not_held,
+                      .was_located = was_located,
+                      .service = options_.service,
+                      .route_version = newest_routes_,
+                      .flow = flow,
+                      .packet = bytes});
+}
+
+template <packet_sink Sink>
+void packet_agent::on_packet(instant now, endpoint from,
+    agent_packet const& message, flow_packet const& packet, Sink& sink) {
+    using internal::held_state;
+    bool const is_locate = message.kind == agent_packet_kind::locate;
+    auto const found = flows_.find(message.flow);
+    if (found != flows_.end()) {
+        auto& it = found->second;
+        bool const is_other =
+            it.state == held_state::offered &&
+            !it.matches(packet.is_acknowledging, packet.acknowledged);
+        if (it.state == held_state::absent || is_other) {
+            if (!is_locate)
+                send_not_held(from, message.flow, false, message.packet, sink);
+            return;
+        }
+        note_caller_packet(now, it, packet);
+        it.balancer = from;
+        // A flow being probed is reported once the backend server answers.
+        if (is_locate && it.state != held_state::probed) {
+            it.told = from;
+            send_held(from, message.flow, it, sink);
+        }
+        return sink.send_backend(packet.bytes);
+    }
+    if (flows_.size() >= options_.max_flows)
+        return sink.send_backend(packet.bytes);
+    // Unknown: opened before this process started, or elsewhere. The backend
+    // server knows; a packet that it does not hold comes back.
+    auto& it = insert(now, message.flow);
+    it.balancer = from;
+    set_state(it, held_state::probed);
+    sink.log({.number = packet_event::flow_probed,
+        .flow = message.flow,
+        .peer = from});
+    sink.send_backend(packet.bytes);
+}
+
+template <packet_sink Sink>
+void packet_agent::on_returned(
+    instant now, flow_packet const& packet, Sink& sink) {
+    using internal::held_state;
+    auto const flow = packet.from_caller();
+    auto& it = insert(now, flow);
+    auto const was = it.state;
+    bool const was_new = it.balancer == endpoint{};
+    set_outstanding(it, false);
+    set_state(it, held_state::absent);
+    if (was_new)
+        return; // Nobody to tell; the caller's copy will find its way.
+    if (packet.is_opening) {
+        sink.log({.number = packet_event::opening_returned,
+            .flow = flow,
+            .peer = it.balancer});
+        agent_packet const message{.route_version = newest_routes_,
+            .flow = flow,
+            .packet = packet.bytes};
+        return decline(
+            now, it.balancer, message, refusal::backend_refused, sink);
+    }
+    bool const was_held = was == held_state::open;
+    sink.log({.number = was_held ? packet_event::flow_lost
+                                 : packet_event::flow_not_held,
+        .flow = flow,
+        .peer = it.balancer});
+    if (was_held)
+        return sink.reset_caller(flow, packet.acknowledged);
+    if (was != held_state::absent)
+        send_not_held(it.balancer, flow, true, {}, sink);
+}
+
+template <packet_sink Sink>
+void packet_agent::handle_backend(
+    instant now, flow_packet const& packet, Sink& sink) {
+    using internal::held_state;
+    last_event_ = now;
+    last_backend_packet_ = now;
+    oldest_unanswered_ = {};
+    if (is_silent_) {
+        is_silent_ = false;
+        sink.log({.number = packet_event::backend_silent, .value = 0});
+    }
+    if (packet.is_returned)
+        return on_returned(now, packet, sink);
+    auto const flow = packet.from_backend();
+    auto& it = insert(now, flow);
+    if (packet.is_opening_reply) {
+        it.handshake = packet.sequence;
+        if (it.state != held_state::open)
+            set_state(it, held_state::offered);
+    } else if (it.state != held_state::open && it.state != held_state::ended) {
+        if (it.state != held_state::offered)
+            sink.log({.number = packet_event::flow_learned, .flow = flow});
+        set_state(it, held_state::open);
+    }
+    note_backend_packet(now, it, packet);
+    if (it.balancer.is_set() && it.told != it.balancer) {
+        it.told = it.balancer;
+        send_held(it.balancer, flow, it, sink);
+    }
+    sink.send_caller(flow, packet.bytes);
+}
+
+template <packet_sink Sink>
+void packet_agent::view_changed(instant now, Sink& sink) {
+    auto const* self = view_.find(options_.backend);
+    int state = 0;
+    if (self != nullptr)
+        state = (self->is_draining || self->is_gone ? 1 : 0) +
+                (self->cold_until > now ? 2 : 0);
+    if (state == reported_state_)
+        return;
+    reported_state_ = state;
+    sink.log({.number = packet_event::backend_state, .value = state});
+}
+
+template <packet_sink Sink> void packet_agent::tick(instant now, Sink& sink) {
+    check_pause(now, sink);
+    view_.tick(now);
+    if (!is_silent_ && oldest_unanswered_ != instant{} &&
+        now - oldest_unanswered_ >= options_.opening_limit) {
+        is_silent_ = true;
+        next_trial_ = now;
+        sink.log({.number = packet_event::backend_silent, .value = 1});
+    }
+    if (now < next_sweep_)
+        return;
+    next_sweep_ = now + std::chrono::seconds(1);
+    sweep(now);
+}
+
+template <packet_sink Sink> void packet_agent::stop(instant now, Sink& sink) {
+    constexpr auto heard_limit = std::chrono::seconds(10);
+    for (auto const& [to, heard] : balancers_)
+        if (now - heard < heard_limit)
+            sink.send(to, {.kind = agent_packet_kind::leaving,
+                              .service = options_.service,
+                              .route_version = newest_routes_});
+}
+
+} // namespace radishspread
+
+#endif
--- /dev/null
+++ b/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
@@ -0,0 +1,293 @@
+#ifndef RADISHSPREAD_CORE_INTERNAL_RS_PACKET_BALANCER_IMPL_HPP
+#define RADISHSPREAD_CORE_INTERNAL_RS_PACKET_BALANCER_IMPL_HPP
+
+#include <radishspread/core/rs_packet_balancer.hpp>
+
+#include <algorithm>
+#include <iterator>
+
+namespace radishspread {
+
+template <packet_sink Sink> void packet_balancer::start(instant now, Sink&) {
+    last_event_ = now;
+    next_sweep_ = now + std::chrono::seconds(1);
+}
+
+template <packet_sink Sink>
+bool packet_balancer::check_pause(instant now, Sink& sink) {
+    auto const gap = now - last_event_;
+    last_event_ = now;
+    if (gap <= options_.pause_limit)
+        return false;
+    sink.log({.number = packet_event::paused,
+        .value = gap / std::chrono::milliseconds(1)});
+    // Openings of before the pause have been given up by their callers, and
+    // the routes may have changed meanwhile.
+    openings_.clear();
+    is_proven_ = false;
+    sink.refresh_view();
+    return true;
+}
+
+template <packet_sink Sink>
+void packet_balancer::handle_caller(
+    instant now, flow_packet const& packet, Sink& sink) {
+    last_event_ = now;
+    if (packet.is_opening_reply || packet.is_returned)
+        return;
+    if (packet.is_opening)
+        on_open(now, packet, sink);
+    else
+        on_packet(now, packet, sink);
+}
+
+template <packet_sink Sink>
+void packet_balancer::on_open(
+    instant now, flow_packet const& packet, Sink& sink) {
+    auto const flow = packet.from_caller();
+    if (!is_ready()) {
+        sink.log({.number = packet_event::opening_dropped,
+            .flow = flow,
+            .why = refusal::unproven_view,
+            .version = view_.route_version()});
+        return;
+    }
+    auto const service = view_.service_of(flow.service);
+    if (service == 0) {
+        sink.log({.number = packet_event::opening_refused,
+            .flow = flow,
+            .why = refusal::unknown_route,
+            .version = view_.route_version()});
+        return sink.reset_caller(flow, 0);
+    }
+    if (auto const it = flows_.find(flow); it != flows_.end()) {
+        // A copy; the agent knows whether its backend server has replied.
+        it->second.last_packet = now;
+        return sink.send(it->second.agent,
+            make_open(now, flow, service, it->second.agent, packet.bytes));
+    }
+    auto const [entry, is_new] = openings_.try_emplace(flow);
+    auto& it = entry->second;
+    if (!is_new) // Asking agents goes on by itself.
+        return;
+    if (openings_.size() > options_.max_openings) {
+        openings_.erase(entry);
+        return sink.reset_caller(flow, 0);
+    }
+    it.service = service;
+    it.started = now;
+    it.packet.assign(packet.bytes.begin(), packet.bytes.end());
+    if (!place(now, flow, it, sink))
+        openings_.erase(flow);
+}
+
+template <packet_sink Sink>
+bool packet_balancer::place(
+    instant now, packet_flow const& flow, opening& it, Sink& sink) {
+    auto const list = candidates(now, it);
+    auto const* chosen =
+        internal::choose_agent({list.data(), list.size()}, random_.next());
+    if (chosen == nullptr)
+        return give_up(now, flow, it, sink);
+    send_open(now, flow, it, chosen->agent, sink);
+    return true;
+}
+
+template <packet_sink Sink>
+void packet_balancer::send_open(instant now, packet_flow const& flow,
+    opening& it, endpoint agent, Sink& sink) {
+    it.tried.push_back(agent);
+    it.agent = agent;
+    it.answer_due = now + options_.answer_limit;
+    loads_.sent(now, agent);
+    auto message = make_open(
+        now, flow, it.service, agent, {it.packet.data(), it.packet.size()});
+    message.is_forced = it.is_forced;
+    sink.log({.number = it.tried.size() == 1 ? packet_event::opening_sent
+                                             : packet_event::opening_passed_on,
+        .flow = flow,
+        .peer = agent,
+        .why = it.last_refusal,
+        .version = view_.route_version(),
+        .value = static_cast<std::int64_t>(it.tried.size())});
+    sink.send(agent, message);
+}
+
+template <packet_sink Sink>
+bool packet_balancer::give_up(
+    instant now, packet_flow const& flow, opening& it, Sink& sink) {
+    if (it.least_loaded.is_set() && !it.is_forced) {
+        // Every agent is full: wait where the wait is shortest.
+        it.is_forced = true;
+        send_open(now, flow, it, it.least_loaded, sink);
+        return true;
+    }
+    if (it.has_silent_agent) {
+        // One of those asked may still take it, so a reset could hit a flow
+        // that opens; the caller's copies go on being answered.
+        it.answer_due = instant::max();
+        return true;
+    }
+    sink.log({.number = packet_event::opening_refused,
+        .flow = flow,
+        .why = it.tried.empty() ? refusal::no_candidate : it.last_refusal,
+        .version = view_.route_version(),
+        .value = static_cast<std::int64_t>(it.tried.size())});
+    sink.reset_caller(flow, 0);
+    return false;
+}
+
+template <packet_sink Sink>
+void packet_balancer::on_packet(
+    instant now, flow_packet const& packet, Sink& sink) {
+    auto const flow = packet.from_caller();
+    auto const it = flows_.find(flow);
+    if (it != flows_.end()) {
+        auto& entry = it->second;
+        if (is_allowed(entry, flow)) {
+            entry.last_packet = now;
+            if (packet.is_acknowledging)
+                entry.settle(packet.acknowledged);
+            auto const service = view_.service_of(flow.service);
+            return sink.send(entry.agent,
+                make_message(agent_packet_kind::carry, service, packet));
+        }
+        flows_.erase(it);
+    }
+    auto const service = view_.service_of(flow.service);
+    if (service != 0)
+        return search(now, packet, service, {}, sink);
+    if (!is_ready() || packet.is_reset)
+        return;
+    sink.log({.number = packet_event::flow_reset,
+        .flow = flow,
+        .why = refusal::unknown_route,
+        .version = view_.route_version()});
+    sink.reset_caller(flow, packet.acknowledged);
+}
+
+// The packet itself goes to all agents of the service, so that the search
+// costs the caller no time: the holder passes it on and says so.
+template <packet_sink Sink>
+void packet_balancer::search(instant now, flow_packet const& packet,
+    std::uint32_t service, endpoint except, Sink& sink) {
+    if (!searches_.admit(now, options_.max_searches))
+        return;
+    auto const message =
+        make_message(agent_packet_kind::locate, service, packet);
+    boost::container::small_vector<endpoint, 16> asked;
+    for (auto const* member : view_.members_of(service)) {
+        auto const agent = agent_of(*member);
+        bool const is_known =
+            std::find(asked.begin(), asked.end(), agent) != asked.end();
+        if (agent == except || is_known)
+            continue;
+        asked.push_back(agent);
+        sink.send(agent, message);
+    }
+    sink.log({.number = packet_event::flow_sought,
+        .flow = packet.from_caller(),
+        .version = view_.route_version(),
+        .value = static_cast<std::int64_t>(asked.size())});
+}
+
+template <packet_sink Sink>
+void packet_balancer::handle(instant now, endpoint from,
+    agent_packet const& message, flow_packet const* packet, Sink& sink) {
+    last_event_ = now;
+    if (message.route_version > view_.route_version()) {
+        sink.log({.number = packet_event::view_behind,
+            .peer = from,
+            .version = message.route_version});
+        sink.refresh_view();
+    }
+    if (message.kind == agent_packet_kind::held) {
+        on_held(now, from, message, sink);
+    } else if (message.kind == agent_packet_kind::declined) {
+        on_declined(now, from, message, sink);
+    } else if (message.kind == agent_packet_kind::not_held) {
+        on_not_held(now, from, message, packet, sink);
+    } else if (message.kind == agent_packet_kind::leaving) {
+        loads_.pass_over(from, now + options_.leaving_time);
+        sink.log({.number = packet_event::agent_leaving, .peer = from});
+    }
+}
+
+template <packet_sink Sink>
+void packet_balancer::on_held(
+    instant now, endpoint from, agent_packet const& message, Sink& sink) {
+    loads_.report(now, from, message);
+    bool const was_opening = openings_.erase(message.flow) > 0;
+    if (!was_opening)
+        sink.log({.number = packet_event::flow_found,
+            .flow = message.flow,
+            .peer = from});
+    note_agent(now, message.flow, from, message.handshake);
+}
+
+template <packet_sink Sink>
+void packet_balancer::on_declined(
+    instant now, endpoint from, agent_packet const& message, Sink& sink) {
+    loads_.report(now, from, message);
+    auto const found = openings_.find(message.flow);
+    if (found == openings_.end())
+        return;
+    auto& it = found->second;
+    it.last_refusal = message.why;
+    if (message.why == refusal::overloaded) {
+        auto const share = loads_.share(now, from, message.slots);
+        if (!it.least_loaded.is_set() || share < it.least_share) {
+            it.least_loaded = from;
+            it.least_share = share;
+        }
+    }
+    if (it.agent != from) // Another one was asked meanwhile.
+        return;
+    if (!place(now, message.flow, it, sink))
+        openings_.erase(message.flow);
+}
+
+template <packet_sink Sink>
+void packet_balancer::on_not_held(instant now, endpoint from,
+    agent_packet const& message, flow_packet const* packet, Sink& sink) {
+    loads_.heard(from);
+    auto const it = flows_.find(message.flow);
+    if (it != flows_.end() && it->second.agent == from)
+        flows_.erase(it);
+    auto const service = view_.service_of(message.flow.service);
+    if (packet != nullptr && !message.was_located && service != 0)
+        search(now, *packet, service, from, sink);
+}
+
+template <packet_sink Sink>
+void packet_balancer::tick(instant now, Sink& sink) {
+    check_pause(now, sink);
+    for (auto it = openings_.begin(); it != openings_.end();) {
+        auto& [flow, entry] = *it;
+        bool is_over = now - entry.started >= options_.opening_limit;
+        if (is_over) {
+            sink.log({.number = packet_event::opening_abandoned,
+                .flow = flow,
+                .peer = entry.agent,
+                .why = refusal::unanswered,
+                .value = static_cast<std::int64_t>(entry.tried.size())});
+        } else if (now >= entry.answer_due) {
+            entry.has_silent_agent = true;
+            entry.last_refusal = refusal::unanswered;
+            if (loads_.missed(now, entry.agent, options_.suspect_time))
+                sink.log({.number = packet_event::agent_suspect,
+                    .peer = entry.agent});
+            is_over = !place(now, flow, entry, sink);
+        }
+        it = is_over ? openings_.erase(it) : std::next(it);
+    }
+    if (now >= next_sweep_) {
+        next_sweep_ = now + std::chrono::seconds(1);
+        view_.tick(now);
+        sweep(now);
+    }
+}
+
+} // namespace radishspread
+
+#endif
--- /dev/null
+++ b/packages/core/include/radishspread/core/rs_agent_packet.hpp
@@ -0,0 +1,53 @@
+#ifndef RADISHSPREAD_CORE_RS_AGENT_PACKET_HPP
+#define RADISHSPREAD_CORE_RS_AGENT_PACKET_HPP
+
+#include <radishspread/core/rs_packet_flow.hpp>
+#include <radishspread/core/rs_refusal.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+
+namespace radishspread {
+
+/// Kind of a message between a balancer and an agent about a packet flow.
+enum class agent_packet_kind : std::uint8_t {
+    open = 1, ///< To the agent: an opening to take or to decline.
+    carry,    ///< To the agent: a packet of a flow that it should hold.
+    locate,   ///< To the agent: a packet for whoever holds the flow.
+    held,     ///< To the balancer: the agent holds the flow.
+    declined, ///< To the balancer: opening not taken; contains the packet.
+    not_held, ///< To the balancer: flow not here; contains the packet.
+    leaving,  ///< To the balancer: the agent stops; no openings any more.
+};
+
+/// `agent_packet::cold_rate` of one opening a second.
+inline constexpr std::uint16_t cold_rate_units = 16;
+
+/// Message between a balancer and an agent. Fields not named for a kind are 0.
+struct agent_packet {
+    agent_packet_kind kind = agent_packet_kind::carry;
+    refusal why = refusal::none; ///< `declined`.
+    /// `open`: must be taken even without a free slot, if it can be queued.
+    bool is_forced = false;
+    /// `open`: the balancer's view has the backend server as cold.
+    bool is_cold = false;
+    /// `not_held`: the packet was sent as `locate`; searching again is futile.
+    bool was_located = false;
+    std::uint32_t service = 0;       ///< `service_tag` of the service.
+    std::uint64_t route_version = 0; ///< Newest version of the routes known.
+    /// `open`: openings a second that a cold backend server takes, in
+    /// `cold_rate_units`.
+    std::uint16_t cold_rate = 0;
+    /// `held`, `declined`: requests at the backend server without a response.
+    std::uint16_t in_progress = 0;
+    std::uint16_t slots = 0;     ///< `held`, `declined`: 0 if unknown.
+    std::uint16_t flows = 0;     ///< `held`, `declined`: flows open.
+    std::uint32_t handshake = 0; ///< `held`: first sequence number, if known.
+    packet_flow flow;            ///< Set for all kinds but `leaving`.
+    std::span<std::byte const> packet; ///< Kinds that contain a packet.
+};
+
+} // namespace radishspread
+
+#endif
--- /dev/null
+++ b/packages/core/include/radishspread/core/rs_fleet_change.hpp
@@ -0,0 +1,69 @@
+#ifndef RADISHSPREAD_CORE_RS_FLEET_CHANGE_HPP
+#define RADISHSPREAD_CORE_RS_FLEET_CHANGE_HPP
+
+#include <radishspread/core/rs_endpoint.hpp>
+#include <radishspread/core/rs_ids.hpp>
+#include <radishspread/core/rs_time.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace radishspread {
+
+/// Number of a service or failure domain in messages and tables: a hash of its
+/// name (XXH32), the same in every process.
+[[nodiscard]] std::uint32_t name_tag(std::string_view name);
+
+/// Address whose flows are opened at one service.
+struct route_entry {
+    endpoint address;
+    std::uint32_t service = 0; ///< `name_tag` of the service.
+};
+
+/// How fast a cold backend server of a service may be given flows.
+struct service_warmup {
+    std::uint32_t service = 0; ///< `name_tag` of the service.
+    duration period{0};        ///< Time for which a started server is cold.
+    double openings_per_second = 0; ///< 0: no limit.
+};
+
+/// All routes, as the operators last wrote them.
+struct route_set {
+    std::uint64_t version = 0;
+    std::vector<route_entry> routes;
+    std::vector<service_warmup> warmups;
+};
+
+/// A backend server as it announces itself.
+struct backend_announcement {
+    std::uint32_t service = 0; ///< `name_tag` of the service.
+    std::uint32_t domain = 0;  ///< `name_tag` of the failure domain.
+    endpoint backend;          ///< Where it receives packets.
+    std::uint16_t slots = 1;   ///< Requests processed at the same time.
+    bool is_draining = false;
+    duration warmup_left{0}; ///< 0 if it is warm.
+    std::uint64_t born = 0;  ///< Start of the backend server, Unix ms.
+};
+
+/// A failure domain that operators have taken out.
+struct domain_taken_out {
+    std::uint32_t domain = 0; ///< `name_tag` of the failure domain.
+};
+
+/// The item was removed, or says nothing that can be used.
+struct no_content {};
+
+/// One item of the shared configuration as it was last written.
+struct fleet_change {
+    std::string name; ///< Unique name of the item.
+    radishspread::revision revision = 0;
+    std::variant<no_content, route_set, backend_announcement, domain_taken_out>
+        content;
+};
+
+} // namespace radishspread
+
+#endif
--- /dev/null
+++ b/packages/core/include/radishspread/core/rs_fleet_view.hpp
@@ -0,0 +1,100 @@
+#ifndef RADISHSPREAD_CORE_RS_FLEET_VIEW_HPP
+#define RADISHSPREAD_CORE_RS_FLEET_VIEW_HPP
+
+#include <radishspread/core/rs_fleet_change.hpp>
+#include <radishspread/core/rs_time.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace radishspread {
+
+/// Items of the shared configuration as one process knows them, merged item by
+/// item: the higher revision stays in effect, whatever the order and source.
+class fleet_view {
+public:
+    /// A backend server that is announced, or was until recently.
+    struct member {
+        std::uint32_t service = 0;
+        std::uint32_t domain = 0;
+        endpoint backend;
+        std::uint16_t slots = 1;
+        bool is_draining = false;
+        instant cold_until;
+        std::uint64_t born = 0;
+        bool is_gone = false;
+        instant gone_at; ///< Time of removal, present or planned.
+    };
+
+    /// Merges one item. False if it is not newer than what is held.
+    bool apply(instant now, fleet_change const& change);
+
+    /// Ends a complete read of all items whose names begin with `prefix`:
+    /// items that are not in `names` were removed before revision `as_of`.
+    void finish_read(instant now, std::string_view prefix,
+        std::set<std::string, std::less<>> const& names, revision as_of);
+
+    /// The source of the items is out of reach or back. While it is away and
+    /// for `lapse_hold` after, removed backend servers stay: their
+    /// announcements may have lapsed because they could not renew them.
+    void set_reachable(instant now, bool is_reachable);
+
+    /// Forgets backend servers that are gone for long.
+    void tick(instant now);
+
+    /// Tag of the service that flows to `address` open at; 0 if none.
+    [[nodiscard]] std::uint32_t service_of(endpoint address) const;
+    /// True once routes were read.
+    [[nodiscard]] bool has_routes() const { return version_ != 0; }
+    [[nodiscard]] std::uint64_t route_version() const { return version_; }
+    [[nodiscard]] bool is_out(std::uint32_t domain) const;
+    [[nodiscard]] service_warmup warmup_of(std::uint32_t service) const;
+    /// Members of a service, those gone less than `gone_limit` ago included.
+    [[nodiscard]] std::span<member const* const> members_of(
+        std::uint32_t service) const;
+    /// Members of all services.
+    [[nodiscard]] std::span<member const* const> all_members() const {
+        return all_;
+    }
+    /// Latest started member whose backend server has the address, or null.
+    [[nodiscard]] member const* find(endpoint backend) const;
+    /// True if the member may be given openings.
+    [[nodiscard]] bool is_eligible(instant now, member const& it) const;
+    /// Time at which a taken-out failure domain came back; default if never.
+    [[nodiscard]] instant returned_at(std::uint32_t domain) const;
+    /// Highest revision of any item.
+    [[nodiscard]] revision newest() const { return newest_; }
+
+    static constexpr duration gone_limit = std::chrono::seconds(60);
+    static constexpr duration lapse_hold = std::chrono::milliseconds(2500);
+
+private:
+    void apply_routes(route_set const& value);
+    void apply_member(
+        instant now, std::string const& name, backend_announcement const& it);
+    void remove(instant now, std::string const& name);
+    void index_members();
+
+    std::map<std::string, revision, std::less<>> revisions_;
+    std::map<std::string, member, std::less<>> members_;
+    std::unordered_map<std::uint32_t, std::vector<member const*>> by_service_;
+    std::vector<member const*> all_;
+    std::map<std::string, std::uint32_t, std::less<>> domains_out_;
+    std::map<std::uint32_t, instant> returned_;
+    std::map<endpoint, std::uint32_t> routes_;
+    std::vector<service_warmup> warmups_;
+    std::uint64_t version_ = 0;
+    revision newest_ = 0;
+    bool is_reachable_ = true;
+    instant reachable_since_;
+};
+
+} // namespace radishspread
+
+#endif
--- /dev/null
+++ b/packages/core/include/radishspread/core/rs_flow_packet.hpp
@@ -0,0 +1,42 @@
+#ifndef RADISHSPREAD_CORE_RS_FLOW_PACKET_HPP
+#define RADISHSPREAD_CORE_RS_FLOW_PACKET_HPP
+
+#include <radishspread/core/rs_endpoint.hpp>
+#include <radishspread/core/rs_packet_flow.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+
+namespace radishspread {
+
+/// A packet of a flow: what its header says, and the bytes to pass on. Only
+/// the two ends of the flow read or write the payload.
+struct flow_packet {
+    endpoint source;
+    endpoint destination;
+    bool is_opening = false;       ///< First packet of a flow, or a copy.
+    bool is_opening_reply = false; ///< The backend server takes the flow.
+    bool is_acknowledging = false;
+    bool is_finish = false;
+    bool is_reset = false;
+    bool is_returned = false; ///< The backend server did not take it.
+    std::uint32_t sequence = 0;
+    /// Next byte expected from the other end; of an opening, its copy number.
+    std::uint32_t acknowledged = 0;
+    std::uint16_t payload_size = 0;
+    std::span<std::byte const> bytes; ///< The whole datagram.
+
+    /// Flow of a packet that a caller sent.
+    [[nodiscard]] packet_flow from_caller() const {
+        return {.caller = source, .service = destination};
+    }
+    /// Flow of a packet that a backend server sent.
+    [[nodiscard]] packet_flow from_backend() const {
+        return {.caller = destination, .service = source};
+    }
+};
+
+} // namespace radishspread
+
+#endif
--- /dev/null
+++ b/packages/core/include/radishspread/core/rs_packet_agent.hpp
@@ -0,0 +1,113 @@
+#ifndef RADISHSPREAD_CORE_RS_PACKET_AGENT_HPP
+#define RADISHSPREAD_CORE_RS_PACKET_AGENT_HPP
+
+#include <radishspread/core/internal/rs_held_flow.hpp>
+#include <radishspread/core/internal/rs_rate_window.hpp>
+#include <radishspread/core/rs_fleet_view.hpp>
+#include <radishspread/core/rs_flow_packet.hpp>
+#include <radishspread/core/rs_packet_agent_options.hpp>
+#include <radishspread/core/rs_packet_events.hpp>
+#include <radishspread/core/rs_packet_sinks.hpp>
+
+#include <cstddef>
+#include <map>
+#include <unordered_map>
+
+namespace radishspread {
+
+/// Decisions of an agent for flows of opaque packets: which openings its
+/// backend server takes, and which packets are passed to it. The backend server
+/// itself is the only complete table of its flows: it returns a packet of a
+/// flow that it does not hold, so what an earlier process knew is learned
+/// again.
+class packet_agent {
+public:
+    explicit packet_agent(packet_agent_options options);
+
+    template <packet_sink Sink> void start(instant now, Sink& sink);
+
+    /// A message of the balancer at `from`; `packet` is its decoded packet.
+    template <packet_sink Sink>
+    void handle(instant now, endpoint from, agent_packet const& message,
+        flow_packet const& packet, Sink& sink);
+
+    /// A packet from the backend server.
+    template <packet_sink Sink>
+    void handle_backend(instant now, flow_packet const& packet, Sink& sink);
+
+    /// Items of the configuration have changed.
+    template <packet_sink Sink> void view_changed(instant now, Sink& sink);
+
+    /// Detects a pause; true if what was received before now is too old.
+    template <packet_sink Sink> bool check_pause(instant now, Sink& sink);
+
+    template <packet_sink Sink> void tick(instant now, Sink& sink);
+
+    /// Tells the balancers that this agent leaves.
+    template <packet_sink Sink> void stop(instant now, Sink& sink);
+
+    [[nodiscard]] fleet_view& view() { return view_; }
+    [[nodiscard]] fleet_view const& view() const { return view_; }
+    [[nodiscard]] std::size_t flows() const { return open_; }
+    [[nodiscard]] std::size_t in_progress() const { return in_progress_; }
+
+private:
+    using flow_table =
+        std::unordered_map<packet_flow, internal::held_flow, packet_flow_hash>;
+
+    template <packet_sink Sink>
+    void on_open(instant now, endpoint from, agent_packet const& message,
+        flow_packet const& packet, Sink& sink);
+    template <packet_sink Sink>
+    void on_packet(instant now, endpoint from, agent_packet const& message,
+        flow_packet const& packet, Sink& sink);
+    template <packet_sink Sink>
+    void on_returned(instant now, flow_packet const& packet, Sink& sink);
+    template <packet_sink Sink>
+    void decline(instant now, endpoint to, agent_packet const& message,
+        refusal why, Sink& sink);
+    template <packet_sink Sink>
+    void send_held(endpoint to, packet_flow const& flow,
+        internal::held_flow const& it, Sink& sink);
+    template <packet_sink Sink>
+    void send_not_held(endpoint to, packet_flow const& flow, bool was_located,
+        std::span<std::byte const> bytes, Sink& sink);
+
+    /// Why the opening is not taken; `none` if it is.
+    [[nodiscard]] refusal judge(instant now, agent_packet const& message);
+    [[nodiscard]] bool is_cold(instant now, agent_packet const& message) const;
+    [[nodiscard]] std::size_t slots() const;
+    void set_state(internal::held_flow& it, internal::held_state value);
+    void set_outstanding(internal::held_flow& it, bool value);
+    void note_caller_packet(
+        instant now, internal::held_flow& it, flow_packet const& packet);
+    void note_backend_packet(
+        instant now, internal::held_flow& it, flow_packet const& packet);
+    /// Forgets flows that ended or are idle.
+    void sweep(instant now);
+    [[nodiscard]] internal::held_flow& insert(
+        instant now, packet_flow const& flow);
+
+    packet_agent_options options_;
+    fleet_view view_;
+    flow_table flows_;
+    std::map<endpoint, instant> balancers_; ///< Last message of each.
+    std::size_t open_ = 0;
+    std::size_t in_progress_ = 0;
+    std::uint64_t newest_routes_ = 0; ///< Newest version any balancer showed.
+    internal::rate_window cold_window_{std::chrono::seconds(1)};
+    std::uint16_t cold_rate_ = 0; ///< As the last balancer gave it.
+    int reported_state_ = -1;
+    instant last_event_;
+    instant last_backend_packet_;
+    instant oldest_unanswered_; ///< Opening without a reply; default: none.
+    bool is_silent_ = false;
+    instant next_trial_;
+    instant next_sweep_;
+};
+
+} // namespace radishspread
+
+#include <radishspread/core/internal/rs_packet_agent_impl.hpp>
+
+#endif
--- /dev/null
+++ b/packages/core/include/radishspread/core/rs_packet_agent_options.hpp
@@ -0,0 +1,39 @@
+#ifndef RADISHSPREAD_CORE_RS_PACKET_AGENT_OPTIONS_HPP
+#define RADISHSPREAD_CORE_RS_PACKET_AGENT_OPTIONS_HPP
+
+#include <radishspread/core/rs_endpoint.hpp>
+#include <radishspread/core/rs_time.hpp>
+
+#include <cstddef>
+#include <cstdint>
+
+namespace radishspread {
+
+/// Settings of the agent core for packet flows.
+struct packet_agent_options {
+    std::uint32_t service = 0; ///< `name_tag` of the service it stands before.
+    std::uint32_t domain = 0;  ///< `name_tag` of its failure domain.
+    endpoint backend;          ///< Where the backend server receives packets.
+    std::size_t max_flows = 16384;
+    /// After this time without a packet a flow is forgotten.
+    duration idle_limit = std::chrono::seconds(60);
+    /// Entries of flows that ended stay for late packets.
+    duration ended_limit = std::chrono::seconds(5);
+    /// A request without a packet for this long counts as in progress no more.
+    duration request_limit = std::chrono::seconds(5);
+    /// An opening without a reply for this long counts against the backend
+    /// server.
+    duration opening_limit = std::chrono::milliseconds(100);
+    /// Openings in progress beyond the slots that a forced opening may use, as
+    /// a multiple of the slots. Backend servers queue a few requests more.
+    std::size_t queue_factor = 3;
+    /// A gap this long between two events means that the process was paused.
+    duration pause_limit = std::chrono::seconds(1);
+    /// For this long after its failure domain came back, a backend server with
+    /// a warm-up limit counts as cold: its announcement may lag.
+    duration return_caution = std::chrono::milliseconds(2500);
+};
+
+} // namespace radishspread
+
+#endif
--- /dev/null
+++ b/packages/core/include/radishspread/core/rs_packet_balancer.hpp
@@ -0,0 +1,125 @@
+#ifndef RADISHSPREAD_CORE_RS_PACKET_BALANCER_HPP
+#define RADISHSPREAD_CORE_RS_PACKET_BALANCER_HPP
+
+#include <radishspread/core/internal/rs_agent_loads.hpp>
+#include <radishspread/core/internal/rs_flow_cache.hpp>
+#include <radishspread/core/internal/rs_jitter.hpp>
+#include <radishspread/core/internal/rs_pending_opening.hpp>
+#include <radishspread/core/internal/rs_placement.hpp>
+#include <radishspread/core/internal/rs_rate_window.hpp>
+#include <radishspread/core/rs_fleet_view.hpp>
+#include <radishspread/core/rs_flow_packet.hpp>
+#include <radishspread/core/rs_packet_balancer_options.hpp>
+#include <radishspread/core/rs_packet_events.hpp>
+#include <radishspread/core/rs_packet_sinks.hpp>
+
+#include <cstddef>
+#include <optional>
+#include <unordered_map>
+
+namespace radishspread {
+
+/// Decisions of a balancer for flows of opaque packets: which agent is asked to
+/// take an opening, and which agent gets each later packet. Its tables are
+/// caches; the agents and their backend servers hold the truth.
+class packet_balancer {
+public:
+    explicit packet_balancer(packet_balancer_options options);
+
+    template <packet_sink Sink> void start(instant now, Sink& sink);
+
+    /// A packet that the fabric delivered.
+    template <packet_sink Sink>
+    void handle_caller(instant now, flow_packet const& packet, Sink& sink);
+
+    /// A message of the agent at `from`; `packet` is its decoded packet, if it
+    /// has one.
+    template <packet_sink Sink>
+    void handle(instant now, endpoint from, agent_packet const& message,
+        flow_packet const* packet, Sink& sink);
+
+    /// Detects a pause; true if what was received before now is too old.
+    template <packet_sink Sink> bool check_pause(instant now, Sink& sink);
+
+    /// Items of the configuration have changed or were confirmed.
+    void view_confirmed() { is_proven_ = true; }
+
+    template <packet_sink Sink> void tick(instant now, Sink& sink);
+
+    /// Time at which `tick` has something to do, if any.
+    [[nodiscard]] std::optional<instant> next_due() const;
+
+    /// True once openings may be placed: routes are known and fresh.
+    [[nodiscard]] bool is_ready() const {
+        return is_proven_ && view_.has_routes();
+    }
+
+    [[nodiscard]] fleet_view& view() { return view_; }
+    [[nodiscard]] fleet_view const& view() const { return view_; }
+    [[nodiscard]] std::size_t flows() const { return flows_.size(); }
+    [[nodiscard]] std::size_t openings() const { return openings_.size(); }
+
+private:
+    using opening = internal::opening_in_progress;
+    using opening_table =
+        std::unordered_map<packet_flow, opening, packet_flow_hash>;
+
+    template <packet_sink Sink>
+    void on_open(instant now, flow_packet const& packet, Sink& sink);
+    template <packet_sink Sink>
+    void on_packet(instant now, flow_packet const& packet, Sink& sink);
+    template <packet_sink Sink>
+    void search(instant now, flow_packet const& packet, std::uint32_t service,
+        endpoint except, Sink& sink);
+    /// Asks the next agent to take the opening. Returns false if it ended.
+    template <packet_sink Sink>
+    bool place(instant now, packet_flow const& flow, opening& it, Sink& sink);
+    template <packet_sink Sink>
+    void send_open(instant now, packet_flow const& flow, opening& it,
+        endpoint agent, Sink& sink);
+    /// No agent is left to ask. Returns false if the opening ended.
+    template <packet_sink Sink>
+    bool give_up(instant now, packet_flow const& flow, opening& it, Sink& sink);
+    template <packet_sink Sink>
+    void on_held(
+        instant now, endpoint from, agent_packet const& message, Sink& sink);
+    template <packet_sink Sink>
+    void on_declined(
+        instant now, endpoint from, agent_packet const& message, Sink& sink);
+    template <packet_sink Sink>
+    void on_not_held(instant now, endpoint from, agent_packet const& message,
+        flow_packet const* packet, Sink& sink);
+
+    [[nodiscard]] endpoint agent_of(fleet_view::member const& it) const;
+    [[nodiscard]] internal::placement_candidates candidates(
+        instant now, opening const& it) const;
+    [[nodiscard]] fleet_view::member const* find_member(endpoint agent) const;
+    /// True if the flow's route still exists.
+    [[nodiscard]] bool is_allowed(
+        internal::cached_flow& it, packet_flow const& flow) const;
+    [[nodiscard]] agent_packet make_message(agent_packet_kind kind,
+        std::uint32_t service, flow_packet const& packet) const;
+    [[nodiscard]] agent_packet make_open(instant now, packet_flow const& flow,
+        std::uint32_t service, endpoint agent,
+        std::span<std::byte const> bytes) const;
+    void note_agent(instant now, packet_flow const& flow, endpoint agent,
+        std::uint32_t handshake);
+    void sweep(instant now);
+
+    packet_balancer_options options_;
+    fleet_view view_;
+    internal::flow_cache flows_;
+    opening_table openings_;
+    internal::agent_loads loads_;
+    internal::rate_window searches_{std::chrono::seconds(1)};
+    internal::jitter random_;
+    bool is_proven_ = false;
+    instant last_event_;
+    instant next_sweep_;
+};
+
+} // namespace radishspread
+
+#include <radishspread/core/internal/rs_packet_balancer_impl.hpp>
+
+#endif
--- /dev/null
+++ b/packages/core/include/radishspread/core/rs_packet_balancer_options.hpp
@@ -0,0 +1,36 @@
+#ifndef RADISHSPREAD_CORE_RS_PACKET_BALANCER_OPTIONS_HPP
+#define RADISHSPREAD_CORE_RS_PACKET_BALANCER_OPTIONS_HPP
+
+#include <radishspread/core/rs_time.hpp>
+
+#include <cstddef>
+#include <cstdint>
+
+namespace radishspread {
+
+/// Settings of the balancer core for packet flows.
+struct packet_balancer_options {
+    std::uint32_t domain = 0;     ///< `name_tag` of its failure domain.
+    std::uint16_t agent_port = 0; ///< Port of every agent, on its host.
+    std::size_t max_flows = 65536;
+    std::size_t max_openings = 4096; ///< Openings without an answer yet.
+    duration idle_limit = std::chrono::seconds(60);
+    /// An agent that has not answered an opening for this long is passed over.
+    duration answer_limit = std::chrono::milliseconds(40);
+    /// The caller gives up an opening after about this time.
+    duration opening_limit = std::chrono::milliseconds(1200);
+    /// Time for which an agent that does not answer is passed over.
+    duration suspect_time = std::chrono::seconds(2);
+    /// Time for which a leaving agent is passed over: its restart.
+    duration leaving_time = std::chrono::seconds(1);
+    /// A report of load older than this says nothing.
+    duration load_age_limit = std::chrono::seconds(1);
+    /// Packets a second that may be sent to all agents of a service.
+    std::size_t max_searches = 4000;
+    duration pause_limit = std::chrono::seconds(1);
+    std::uint64_t seed = 1; ///< Of the random choices.
+};
+
+} // namespace radishspread
+
+#endif
--- /dev/null
+++ b/packages/core/include/radishspread/core/rs_packet_flow.hpp
@@ -0,0 +1,33 @@
+#ifndef RADISHSPREAD_CORE_RS_PACKET_FLOW_HPP
+#define RADISHSPREAD_CORE_RS_PACKET_FLOW_HPP
+
+#include <radishspread/core/rs_endpoint.hpp>
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+
+namespace radishspread {
+
+/// Identity of a flow of opaque packets: its two ends.
+struct packet_flow {
+    endpoint caller;
+    endpoint service; ///< Address and port that the caller opened.
+
+    friend auto operator<=>(packet_flow const&, packet_flow const&) = default;
+};
+
+/// 64-bit hash (XXH3), the same in every process; also the id of the flow in
+/// logs.
+[[nodiscard]] std::uint64_t hash_value(packet_flow const& key);
+
+/// Hasher for unordered containers.
+struct packet_flow_hash {
+    std::size_t operator()(packet_flow const& key) const {
+        return hash_value(key);
+    }
+};
+
+} // namespace radishspread
+
+#endif
--- /dev/null
+++ b/packages/core/src/rs_fleet_view.cpp
@@ -0,0 +1,150 @@
+#include <radishspread/core/rs_fleet_view.hpp>
+
+#include <algorithm>
+
+namespace radishspread {
+
+bool fleet_view::apply(instant now, fleet_change const& change) {
+    auto& held = revisions_[change.name];
+    if (change.revision <= held)
+        return false;
+    held = change.revision;
+    newest_ = std::max(newest_, change.revision);
+    auto const* routes = std::get_if<route_set>(&change.content);
+    auto const* backend = std::get_if<backend_announcement>(&change.content);
+    auto const* domain = std::get_if<domain_taken_out>(&change.content);
+    if (routes != nullptr) {
+        apply_routes(*routes);
+    } else if (backend != nullptr) {
+        apply_member(now, change.name, *backend);
+    } else if (domain != nullptr) {
+        domains_out_[change.name] = domain->domain;
+    } else {
+        remove(now, change.name);
+    }
+    return true;
+}
+
+// A version of the routes never gives way to an older one, even if an item of
+// a higher revision has it.
+void fleet_view::apply_routes(route_set const& value) {
+    if (value.version <= version_)
+        return;
+    version_ = value.version;
+    warmups_ = value.warmups;
+    routes_.clear();
+    for (auto const& it : value.routes)
+        routes_.emplace(it.address, it.service);
+}
+
+void fleet_view::apply_member(
+    instant now, std::string const& name, backend_announcement const& it) {
+    auto& entry = members_[name];
+    entry = {.service = it.service,
+        .domain = it.domain,
+        .backend = it.backend,
+        .slots = it.slots,
+        .is_draining = it.is_draining,
+        .cold_until =
+            it.warmup_left > duration{0} ? now + it.warmup_left : instant{},
+        .born = it.born};
+    index_members();
+}
+
+void fleet_view::remove(instant now, std::string const& name) {
+    if (auto const it = domains_out_.find(name); it != domains_out_.end()) {
+        returned_[it->second] = now;
+        domains_out_.erase(it);
+    }
+    auto const it = members_.find(name);
+    if (it == members_.end() || it->second.is_gone)
+        return;
+    it->second.is_gone = true;
+    it->second.gone_at = is_reachable_
+                             ? std::max(now, reachable_since_ + lapse_hold)
+                             : now + lapse_hold;
+}
+
+void fleet_view::finish_read(instant now, std::string_view prefix,
+    std::set<std::string, std::less<>> const& names, revision as_of) {
+    newest_ = std::max(newest_, as_of);
+    for (auto it = revisions_.lower_bound(prefix);
+         it != revisions_.end() && it->first.starts_with(prefix); ++it) {
+        if (it->second > as_of || names.contains(it->first))
+            continue;
+        it->second = as_of;
+        remove(now, it->first);
+    }
+}
+
+void fleet_view::set_reachable(instant now, bool is_reachable) {
+    if (is_reachable && !is_reachable_)
+        reachable_since_ = now;
+    is_reachable_ = is_reachable;
+}
+
+void fleet_view::tick(instant now) {
+    auto const is_over = [&](auto const& it) {
+        return it.second.is_gone && now - it.second.gone_at > gone_limit;
+    };
+    if (std::erase_if(members_, is_over) > 0)
+        index_members();
+}
+
+void fleet_view::index_members() {
+    by_service_.clear();
+    all_.clear();
+    for (auto const& [name, it] : members_) {
+        by_service_[it.service].push_back(&it);
+        all_.push_back(&it);
+    }
+}
+
+std::uint32_t fleet_view::service_of(endpoint address) const {
+    auto const it = routes_.find(address);
+    return it == routes_.end() ? 0 : it->second;
+}
+
+bool fleet_view::is_out(std::uint32_t domain) const {
+    return std::any_of(domains_out_.begin(), domains_out_.end(),
+        [&](auto const& it) { return it.second == domain; });
+}
+
+service_warmup fleet_view::warmup_of(std::uint32_t service) const {
+    for (auto const& it : warmups_)
+        if (it.service == service)
+            return it;
+    return {.service = service};
+}
+
+std::span<fleet_view::member const* const> fleet_view::members_of(
+    std::uint32_t service) const {
+    auto const it = by_service_.find(service);
+    if (it == by_service_.end())
+        return {};
+    return it->second;
+}
+
+fleet_view::member const* fleet_view::find(endpoint backend) const {
+    member const* found = nullptr;
+    for (auto const& [name, it] : members_) {
+        if (it.backend != backend)
+            continue;
+        if (found == nullptr || (found->is_gone && !it.is_gone) ||
+            (found->is_gone == it.is_gone && it.born > found->born))
+            found = &it;
+    }
+    return found;
+}
+
+bool fleet_view::is_eligible(instant now, member const& it) const {
+    return !(it.is_gone && now >= it.gone_at) && !it.is_draining &&
+           !is_out(it.domain);
+}
+
+instant fleet_view::returned_at(std::uint32_t domain) const {
+    auto const it = returned_.find(domain);
+    return it == returned_.end() ? instant{} : it->second;
+}
+
+} // namespace radishspread
--- /dev/null
+++ b/packages/core/src/rs_item_follower.cpp
@@ -0,0 +1,115 @@
+#include <radishspread/core/rs_item_follower.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace radishspread {
+
+item_follower::item_follower(item_follower_options options)
+    : options_(std::move(options)), random_(options_.seed) {}
+
+std::optional<item_call> item_follower::take_call(instant now) {
+    if (is_outstanding_ || now < due_)
+        return std::nullopt;
+    is_outstanding_ = true;
+    if (is_watching_)
+        return item_call{.is_watch = true,
+            .prefix = options_.prefix,
+            .after = after_,
+            .wait = options_.wait,
+            .limit = options_.wait + options_.watch_grace};
+    // A view that is not complete may come from a peer while the service does
+    // not answer; a complete one waits for the service.
+    bool const asks_peer =
+        options_.peers > 0 && !is_complete_ && failures_ % 2 == 1;
+    source_ = asks_peer ? 1 + random_.below(options_.peers) : 0;
+    return item_call{.prefix = options_.prefix,
+        .after_name = after_name_,
+        .limit = options_.read_limit,
+        .source = source_};
+}
+
+bool item_follower::handle_page(
+    instant now, item_page const& page, fleet_view& view) {
+    is_outstanding_ = false;
+    answered_at_ = now;
+    if (source_ == 0 || is_watching_) {
+        failures_ = 0;
+        view.set_reachable(now, true);
+    }
+    if (!is_watching_)
+        return handle_read(now, page, view);
+    for (auto const& it : page.changes)
+        view.apply(now, it);
+    after_ = std::max(after_, page.as_of);
+    due_ = page.changes.empty() ? now : now + options_.collect;
+    return true;
+}
+
+// Pages are no snapshot: what changed while they were read is seen by the
+// watch, which begins at the revision of the first page.
+bool item_follower::handle_read(
+    instant now, item_page const& page, fleet_view& view) {
+    if (after_name_.empty())
+        read_from_ = page.as_of;
+    for (auto const& it : page.changes) {
+        view.apply(now, it);
+        names_.insert(it.name);
+    }
+    due_ = now;
+    if (page.has_more && !page.changes.empty()) {
+        after_name_ = page.changes.back().name;
+        return false;
+    }
+    view.finish_read(now, options_.prefix, names_, read_from_);
+    is_complete_ = true;
+    if (source_ == 0) {
+        is_watching_ = true;
+        after_ = read_from_;
+    } else {
+        // Held from a peer; the service is asked until it answers.
+        due_ = now + random_.backoff(failures_, options_.backoff_minimum,
+                         options_.backoff_maximum);
+    }
+    begin_read(due_);
+    return true;
+}
+
+void item_follower::begin_read(instant now) {
+    names_.clear();
+    after_name_.clear();
+    due_ = now;
+}
+
+void item_follower::handle_history_lost(instant now) {
+    is_outstanding_ = false;
+    answered_at_ = now;
+    is_watching_ = false;
+    begin_read(now);
+}
+
+void item_follower::handle_failure(
+    instant now, bool is_outage, fleet_view& view) {
+    is_outstanding_ = false;
+    if (is_outage && source_ == 0)
+        view.set_reachable(now, false);
+    ++failures_;
+    if (!is_watching_)
+        begin_read(now);
+    due_ = now + options_.backoff_minimum / 4 +
+           random_.backoff(
+               failures_, options_.backoff_minimum, options_.backoff_maximum);
+}
+
+bool item_follower::restart(instant now) {
+    if (restarted_at_ != instant{} && now - restarted_at_ < restart_interval)
+        return false;
+    restarted_at_ = now;
+    is_outstanding_ = false;
+    is_watching_ = false;
+    is_complete_ = false;
+    begin_read(now);
+    return true;
+}
+
+} // namespace radishspread
--- /dev/null
+++ b/packages/core/src/rs_packet_agent.cpp
@@ -0,0 +1,141 @@
+#include <radishspread/core/rs_packet_agent.hpp>
+
+#include <algorithm>
+
+namespace radishspread {
+
+using internal::held_flow;
+using internal::held_state;
+
+namespace {
+
+/// Interval at which a backend server that does not answer gets an opening.
+constexpr duration trial_interval = std::chrono::milliseconds(200);
+
+bool counts_as_open(held_state state) {
+    return state <= held_state::open;
+}
+
+} // namespace
+
+packet_agent::packet_agent(packet_agent_options options) : options_(options) {}
+
+std::size_t packet_agent::slots() const {
+    auto const* self = view_.find(options_.backend);
+    return self == nullptr ? 0 : self->slots;
+}
+
+bool packet_agent::is_cold(instant now, agent_packet const& message) const {
+    if (message.is_cold)
+        return true;
+    auto const* self = view_.find(options_.backend);
+    if (self == nullptr)
+        return true;
+    auto const returned = view_.returned_at(options_.domain);
+    bool const is_back =
+        returned != instant{} && now - returned < options_.return_caution;
+    return is_back || self->cold_until > now;
+}
+
+// Every check stands here because only the agent sees the openings of all
+// balancers; theirs are a first guess that saves a hop.
+refusal packet_agent::judge(instant now, agent_packet const& message) {
+    if (message.service != options_.service)
+        return refusal::other_service;
+    if (message.route_version < newest_routes_)
+        return refusal::stale_view;
+    if (view_.is_out(options_.domain))
+        return refusal::domain_out;
+    auto const* self = view_.find(options_.backend);
+    if (self != nullptr && !view_.is_eligible(now, *self))
+        return refusal::draining;
+    if (is_silent_ && now < next_trial_)
+        return refusal::unresponsive;
+    auto const limit = slots();
+    auto const most =
+        message.is_forced ? limit * (1 + options_.queue_factor) : limit;
+    if (limit != 0 && in_progress_ >= most)
+        return refusal::overloaded;
+    if (message.cold_rate != 0 && is_cold(now, message)) {
+        auto const rate = std::max<std::size_t>(
+            1, static_cast<std::size_t>(message.cold_rate / cold_rate_units));
+        if (!cold_window_.admit(now, rate))
+            return refusal::warming_up;
+    } else {
+        // Counts for a backend server that turns out to be cold.
+        cold_window_.add(now);
+    }
+    if (is_silent_)
+        next_trial_ = now + trial_interval;
+    return refusal::none;
+}
+
+void packet_agent::set_state(held_flow& it, held_state value) {
+    if (counts_as_open(it.state))
+        --open_;
+    it.state = value;
+    if (counts_as_open(it.state))
+        ++open_;
+}
+
+void packet_agent::set_outstanding(held_flow& it, bool value) {
+    if (it.is_outstanding == value)
+        return;
+    it.is_outstanding = value;
+    value ? ++in_progress_ : --in_progress_;
+}
+
+held_flow& packet_agent::insert(instant now, packet_flow const& flow) {
+    auto const [it, is_new] = flows_.try_emplace(flow);
+    if (is_new) {
+        ++open_; // The state of a new entry counts as open.
+        it->second.opened_at = now;
+        it->second.last_packet = now;
+    }
+    return it->second;
+}
+
+void packet_agent::sweep(instant now) {
+    for (auto entry = flows_.begin(); entry != flows_.end();) {
+        auto& it = entry->second;
+        auto const age = now - it.last_packet;
+        auto const limit = it.state == held_state::ended ? options_.ended_limit
+                                                         : options_.idle_limit;
+        if (age >= options_.request_limit)
+            set_outstanding(it, false);
+        if (age >= limit) {
+            set_state(it, held_state::ended);
+            entry = flows_.erase(entry);
+        } else {
+            ++entry;
+        }
+    }
+}
+
+void packet_agent::note_caller_packet(
+    instant now, held_flow& it, flow_packet const& packet) {
+    it.last_packet = now;
+    if (it.state == held_state::offered)
+        set_state(it, held_state::open);
+    if (packet.payload_size > 0)
+        set_outstanding(it, true);
+    it.caller_finished = it.caller_finished || packet.is_finish;
+    if (packet.is_reset || (it.caller_finished && it.backend_finished)) {
+        set_outstanding(it, false);
+        set_state(it, held_state::ended);
+    }
+}
+
+void packet_agent::note_backend_packet(
+    instant now, held_flow& it, flow_packet const& packet) {
+    it.last_packet = now;
+    if (packet.payload_size > 0 || packet.is_finish || packet.is_reset)
+        set_outstanding(it, false);
+    it.backend_finished = it.backend_finished || packet.is_finish;
+    if (packet.is_reset || (it.caller_finished && it.backend_finished)) {
+        set_outstanding(it, false);
+        set_state(it, held_state::ended);
+    }
+}
+
+} // namespace radishspread
--- /dev/null
+++ b/packages/core/src/rs_placement.cpp
@@ -0,0 +1,56 @@
+#include <radishspread/core/internal/rs_placement.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace radishspread::internal {
+
+namespace {
+
+/// Share of the slots in progress up to which the own failure domain is
+/// preferred; above, a request may have to wait there.
+constexpr double local_limit = 0.6;
+
+using pointer_list =
+    boost::container::small_vector<placement_candidate const*, 16>;
+
+bool is_less_loaded(
+    placement_candidate const& a, placement_candidate const& b) {
+    if (a.share != b.share)
+        return a.share < b.share;
+    return a.flow_share < b.flow_share;
+}
+
+placement_candidate const* better_of_two(
+    pointer_list const& list, std::uint64_t random) {
+    if (list.empty())
+        return nullptr;
+    auto const n = list.size();
+    auto const first = random % n;
+    auto const second =
+        (first + 1 + (random >> 32U) % std::max<std::size_t>(n - 1, 1)) % n;
+    return is_less_loaded(*list[second], *list[first]) ? list[second]
+                                                       : list[first];
+}
+
+} // namespace
+
+placement_candidate const* choose_agent(
+    std::span<placement_candidate const> candidates, std::uint64_t random) {
+    // Best group first: answering and local with free slots, answering, any.
+    std::array<pointer_list, 3> groups;
+    for (auto const& it : candidates) {
+        if (it.is_passed_over)
+            groups[2].push_back(&it);
+        else if (it.is_local && it.share < local_limit)
+            groups[0].push_back(&it);
+        else
+            groups[1].push_back(&it);
+    }
+    for (auto const& it : groups)
+        if (auto const* found = better_of_two(it, random); found != nullptr)
+            return found;
+    return nullptr;
+}
+
+} // namespace radishspread::internal
--- a/packages/runtime/include/radishspread/runtime/rs_clock.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_clock.hpp
@@ -7,7 +7,8 @@
 
 namespace radishspread::runtime {
 
-/// CLOCK_MONOTONIC, which goes on while the process is stopped.
+/// CLOCK_BOOTTIME, which goes on while the process is stopped and while the
+/// host is suspended.
 [[nodiscard]] instant monotonic_now();
 
 /// Nanoseconds since 1970 (CLOCK_REALTIME), for traces.
--- a/packages/runtime/include/radishspread/runtime/rs_configuration_client.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_configuration_client.hpp
@@ -37,6 +37,9 @@
 
     void read(instant now, std::string_view name, response_call call);
 
+    /// Gets `path`, which fails at `limit`.
+    void get(std::string const& path, instant limit, response_call call);
+
     /// Starts a watch, which replaces an outstanding one; the call of the
     /// latter is not made.
     void watch(instant now, std::uint64_t after, response_call call);
--- /dev/null
+++ b/packages/runtime/include/radishspread/runtime/rs_item_source.hpp
@@ -0,0 +1,103 @@
+#ifndef RADISHSPREAD_RUNTIME_RS_ITEM_SOURCE_HPP
+#define RADISHSPREAD_RUNTIME_RS_ITEM_SOURCE_HPP
+
+#include <radishspread/core/rs_item_follower.hpp>
+#include <radishspread/core/rs_packet_events.hpp>
+#include <radishspread/core/rs_packet_log.hpp>
+#include <radishspread/runtime/rs_configuration_client.hpp>
+#include <radishspread/runtime/rs_packet_platform.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace radishspread::runtime {
+
+/// Makes the calls of one follower and merges the answers into a view.
+template <packet_platform Platform> class item_source {
+public:
+    /// `clients` are the sources of calls by index; `changed` is called after
+    /// each answer.
+    item_source(item_follower_options options, fleet_view& view,
+        std::vector<configuration_client*> clients,
+        std::function<void(item_page const&)> changed,
+        std::function<void(packet_log const&)> log)
+        : follower_(std::move(options)), view_(view),
+          clients_(std::move(clients)), changed_(std::move(changed)),
+          log_(std::move(log)) {}
+
+    /// Starts the next call if it is due.
+    void run(instant now) {
+        auto const call = follower_.take_call(now);
+        if (!call)
+            return;
+        auto const id = ++call_id_;
+        clients_[call->source]->get(Platform::path_of(*call), now + call->limit,
+            [this, id](section_response const& it) {
+                if (id == call_id_)
+                    finish(it);
+            });
+    }
+
+    /// Reads everything again.
+    void restart(instant now) {
+        if (follower_.restart(now))
+            ++call_id_;
+    }
+
+    [[nodiscard]] bool is_complete() const { return follower_.is_complete(); }
+    [[nodiscard]] bool is_outstanding() const {
+        return follower_.is_outstanding();
+    }
+    [[nodiscard]] instant due() const { return follower_.due(); }
+    [[nodiscard]] std::uint64_t calls() const { return call_id_; }
+
+    /// Supplies the time; set once before the first call.
+    std::function<instant()> clock;
+
+private:
+    void finish(section_response const& answer) {
+        constexpr std::uint16_t gone = 410;
+        constexpr std::uint16_t too_many_requests = 429;
+        auto const now = clock();
+        auto body = answer.body;
+        auto const page =
+            answer.is_ok() ? Platform::parse_page(body) : std::nullopt;
+        if (page)
+            return use(now, *page);
+        if (answer.status == gone) {
+            log_({.number = packet_event::history_lost});
+            return follower_.handle_history_lost(now);
+        }
+        follower_.handle_failure(
+            now, answer.status != too_many_requests, view_);
+        log_({.number = follower_.failures() == 1 ? packet_event::source_lost
+                                                  : packet_event::read_failed,
+            .value = answer.status,
+            .text = "configuration service"});
+    }
+
+    void use(instant now, item_page const& page) {
+        if (follower_.failures() > 0)
+            log_({.number = packet_event::source_regained,
+                .value = (now - follower_.answered_at()) /
+                         std::chrono::milliseconds(1)});
+        if (page.unreadable > 0)
+            log_({.number = packet_event::item_ignored,
+                .value = static_cast<std::int64_t>(page.unreadable)});
+        follower_.handle_page(now, page, view_);
+        changed_(page);
+    }
+
+    item_follower follower_;
+    fleet_view& view_;
+    std::vector<configuration_client*> clients_;
+    std::function<void(item_page const&)> changed_;
+    std::function<void(packet_log const&)> log_;
+    std::uint64_t call_id_ = 0;
+};
+
+} // namespace radishspread::runtime
+
+#endif
--- /dev/null
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_platform.hpp
@@ -0,0 +1,43 @@
+#ifndef RADISHSPREAD_RUNTIME_RS_PACKET_PLATFORM_HPP
+#define RADISHSPREAD_RUNTIME_RS_PACKET_PLATFORM_HPP
+
+#include <radishspread/core/rs_flow_packet.hpp>
+#include <radishspread/core/rs_item_follower.hpp>
+#include <radishspread/core/rs_item_page.hpp>
+#include <radishspread/core/rs_packet_flow.hpp>
+
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace radishspread::runtime {
+
+/// What a platform speaks: names, formats and calls. Decides nothing.
+template <class Platform>
+concept packet_platform = requires(std::span<std::byte const> bytes,
+    std::span<std::byte> buffer, packet_flow const& flow,
+    std::uint32_t sequence, item_call const& call, std::string& body) {
+    // Empty if the datagram is malformed.
+    { Platform::decode(bytes) } -> std::same_as<std::optional<flow_packet>>;
+    // Makes a returned packet one that can be sent again.
+    Platform::clear_returned(buffer);
+    // A reset to the caller of the flow.
+    {Platform::encode_reset(flow, sequence)};
+    // Path and query of a call.
+    { Platform::path_of(call) } -> std::same_as<std::string>;
+    // Answer of a read or watch; destroys `body`. Empty if unreadable.
+    { Platform::parse_page(body) } -> std::same_as<std::optional<item_page>>;
+    // Prefixes of the names of the items that a role follows.
+    { Platform::balancer_prefixes() } -> std::same_as<std::vector<std::string>>;
+    { Platform::agent_prefixes() } -> std::same_as<std::vector<std::string>>;
+    // Path on which the fabric asks whether the process is ready.
+    { Platform::readiness_path() } -> std::convertible_to<char const*>;
+};
+
+} // namespace radishspread::runtime
+
+#endif
--- a/packages/runtime/src/rs_clock.cpp
+++ b/packages/runtime/src/rs_clock.cpp
@@ -17,7 +17,9 @@
 } // namespace
 
 instant monotonic_now() {
-    std::chrono::nanoseconds const value(read_clock(CLOCK_MONOTONIC));
+    // Unlike CLOCK_MONOTONIC it counts the time for which the host was
+    // suspended, and a view gets older then too.
+    std::chrono::nanoseconds const value(read_clock(CLOCK_BOOTTIME));
     return instant(std::chrono::duration_cast<duration>(value));
 }
 
--- a/packages/runtime/src/rs_configuration_client.cpp
+++ b/packages/runtime/src/rs_configuration_client.cpp
@@ -38,9 +38,14 @@
 
 void configuration_client::read(
     instant now, std::string_view name, response_call call) {
+    get("/v1/sections/" + escape(name), now + options_.read_limit,
+        std::move(call));
+}
+
+void configuration_client::get(
+    std::string const& path, instant limit, response_call call) {
     std::erase_if(calls_, [](auto const& it) { return it->is_done(); });
-    calls_.push_back(start("/v1/sections/" + escape(name),
-        now + options_.read_limit, std::move(call)));
+    calls_.push_back(start(path, limit, std::move(call)));
 }
 
 void configuration_client::watch(
--- /dev/null
+++ b/packages/runtime/src/rs_packet_shell.cpp
@@ -0,0 +1,183 @@
+#include <radishspread/runtime/rs_packet_shell.hpp>
+
+#include <radishspread/config/internal/rs_read_text.hpp>
+#include <radishspread/core/rs_packet_events.hpp>
+#include <radishspread/runtime/rs_metrics_server.hpp>
+#include <radishspread/wire/rs_agent_packet_codec.hpp>
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <cstring>
+
+namespace radishspread::runtime {
+
+namespace {
+
+/// Interval of what has no time of its own: limits of calls, sweeps, the log.
+constexpr duration tick_interval = std::chrono::milliseconds(100);
+constexpr duration malformed_interval = std::chrono::seconds(1);
+
+} // namespace
+
+packet_shell::packet_shell(config::packet_settings settings, std::string file)
+    : settings_(std::move(settings)), file_(std::move(file)),
+      now_(monotonic_now()), started_(now_), log_(settings_.name),
+      sockets_([this](socket_key key, receive_batch const& batch,
+                   std::size_t count) {
+          enter();
+          calls_.receive(key, batch, count);
+      }),
+      timer_([this] { tick(); }) {
+    for (auto const& it : packet_events)
+        event_counters_.push_back(&metrics_.add_counter(
+            "radishspread_events_total", "Events by number, see docs/events.md",
+            "event=\"" + std::to_string(it.number) + '"'));
+}
+
+void packet_shell::log(packet_log const& event) {
+    auto const found = std::find_if(packet_events.begin(), packet_events.end(),
+        [&](auto const& it) { return it.number == event.number; });
+    if (found != packet_events.end())
+        event_counters_[static_cast<std::size_t>(
+                            std::distance(packet_events.begin(), found))]
+            ->add();
+    log_.write(now_, event);
+}
+
+void packet_shell::report_malformed(endpoint from) {
+    ++malformed_;
+    if (now_ < next_malformed_report_)
+        return;
+    next_malformed_report_ = now_ + malformed_interval;
+    log({.number = packet_event::bad_packet,
+        .peer = from,
+        .value = static_cast<std::int64_t>(malformed_)});
+    malformed_ = 0;
+}
+
+void packet_shell::send(endpoint to, agent_packet const& message) {
+    std::array<std::byte, wire::max_datagram> buf;
+    auto const head = wire::encode_agent_packet_head(message);
+    if (head.size() + message.packet.size() > buf.size())
+        return report_malformed(to);
+    std::copy(head.begin(), head.end(), buf.begin());
+    std::copy(message.packet.begin(), message.packet.end(),
+        buf.begin() + head.size());
+    sockets_.send(agent_side_socket, to,
+        std::span(buf).first(head.size() + message.packet.size()));
+}
+
+void packet_shell::wake_at(std::optional<instant> due) {
+    if (due)
+        timer_.set(*due - now_);
+    else
+        timer_.clear();
+}
+
+int packet_shell::run(hooks calls, char const* readiness_path) {
+    calls_ = std::move(calls);
+    std::signal(SIGPIPE, SIG_IGN);
+    enter();
+    log({.number = packet_event::process_started, .text = settings_.name});
+    log_.flush();
+    if (!open_addresses(readiness_path)) {
+        log_.flush();
+        return 1;
+    }
+    add_timers();
+    tick();
+    loop_.run();
+    log({.number = packet_event::process_stopped});
+    log_.flush();
+    return 0;
+}
+
+bool packet_shell::open_socket(socket_key key, endpoint at) {
+    auto const ec = sockets_.open(key, at);
+    if (ec)
+        log({.number = packet_event::listen_failed,
+            .peer = at,
+            .text = ec.message()});
+    return !ec;
+}
+
+bool packet_shell::open_addresses(char const* readiness_path) {
+    auto const& it = settings_;
+    endpoint const peer{
+        .address = it.packet_address.address, .port = it.peer_port};
+    if (it.role == config::role::agent) {
+        if (!open_socket(agent_side_socket, it.packet_address) ||
+            !open_socket(backend_side_socket, it.outbound_address))
+            return false;
+    } else if (!open_socket(caller_side_socket, it.packet_address) ||
+               !open_socket(agent_side_socket, peer)) {
+        return false;
+    }
+    server_.add(readiness_path, [this] {
+        bool const is_ready = !is_stopping() && calls_.is_ready();
+        return http_answer{.status = is_ready ? 200U : 503U};
+    });
+    server_.add(metrics_path, [this] { return metrics_answer(metrics_); });
+    for (auto const at : {it.readiness_address, peer}) {
+        auto const text = server_.listen(at);
+        if (text.empty())
+            continue;
+        log({.number = packet_event::listen_failed, .peer = at, .text = text});
+        return false;
+    }
+    return true;
+}
+
+void packet_shell::add_timers() {
+    loop_.every(tick_interval, [this] { tick(); });
+    loop_.before_poll([this] { sockets_.flush(); });
+    for (int const number : {SIGTERM, SIGINT})
+        loop_.on_signal(number, [this] { begin_stop(); });
+    loop_.on_signal(SIGHUP, [this] { reread(); });
+}
+
+void packet_shell::tick() {
+    enter();
+    calls_.tick();
+    if (!was_ready_ && calls_.is_ready()) {
+        was_ready_ = true;
+        log({.number = packet_event::became_ready,
+            .value = (now_ - started_) / std::chrono::milliseconds(1)});
+    }
+    log_.tick(now_);
+    if (stop_at_ && now_ >= *stop_at_)
+        loop_.quit();
+}
+
+void packet_shell::begin_stop() {
+    enter();
+    if (stop_at_)
+        return loop_.quit();
+    stop_at_ = now_ + std::min(calls_.linger, settings_.stop_deadline);
+    log({.number = packet_event::process_stopping});
+    calls_.stop();
+    sockets_.flush();
+    tick();
+}
+
+void packet_shell::reread() {
+    enter();
+    auto const text = config::read_text(file_);
+    auto const next =
+        config::parse_packet_settings(text.value_or(""), file_, settings_.role);
+    if (!next.value) {
+        auto const fault =
+            next.faults.empty() ? "" : to_string(next.faults.front());
+        log({.number = packet_event::settings_reread,
+            .value = -1,
+            .text = fault});
+        return;
+    }
+    // Addresses and names are bound at start; only the deadline can change.
+    settings_.stop_deadline = next.value->stop_deadline;
+    log({.number = packet_event::settings_reread,
+        .value = *next.value == settings_ ? 0 : 1});
+}
+
+} // namespace radishspread::runtime
--- /dev/null
+++ b/packages/runtime/src/rs_ready_timer.cpp
@@ -0,0 +1,44 @@
+#include <radishspread/runtime/rs_ready_timer.hpp>
+
+#include <algorithm>
+
+namespace radishspread::runtime {
+
+namespace {
+
+gboolean dispatch(GSource* source, GSourceFunc call, gpointer data) {
+    g_source_set_ready_time(source, -1);
+    return call(data);
+}
+
+GSourceFuncs functions{nullptr, nullptr, dispatch, nullptr, nullptr, nullptr};
+
+gboolean call_back(gpointer data) {
+    (*static_cast<std::function<void()>*>(data))();
+    return G_SOURCE_CONTINUE;
+}
+
+} // namespace
+
+ready_timer::ready_timer(std::function<void()> call)
+    : call_(std::move(call)),
+      source_(g_source_new(&functions, sizeof(GSource))) {
+    g_source_set_callback(source_, call_back, &call_, nullptr);
+    g_source_attach(source_, nullptr);
+}
+
+ready_timer::~ready_timer() {
+    g_source_destroy(source_);
+    g_source_unref(source_);
+}
+
+void ready_timer::set(duration delay) {
+    auto const n = std::max<duration::rep>(delay.count(), 0);
+    g_source_set_ready_time(source_, g_get_monotonic_time() + n);
+}
+
+void ready_timer::clear() {
+    g_source_set_ready_time(source_, -1);
+}
+
+} // namespace radishspread::runtime
--- /dev/null
+++ b/packages/wire/include/radishspread/wire/rs_agent_packet_codec.hpp
@@ -0,0 +1,27 @@
+#ifndef RADISHSPREAD_WIRE_RS_AGENT_PACKET_CODEC_HPP
+#define RADISHSPREAD_WIRE_RS_AGENT_PACKET_CODEC_HPP
+
+#include <radishspread/core/rs_agent_packet.hpp>
+
+#include <array>
+#include <cstddef>
+#include <optional>
+#include <span>
+
+namespace radishspread::wire {
+
+/// Bytes in front of the packet of an `agent_packet`.
+inline constexpr std::size_t agent_packet_head_size = 40;
+
+/// Encodes the fields of a message; its packet follows unchanged.
+[[nodiscard]] std::array<std::byte, agent_packet_head_size>
+encode_agent_packet_head(agent_packet const& message);
+
+/// Decodes a datagram; empty if it is too short or a field has no valid value.
+/// The packet in the result points into `data`.
+[[nodiscard]] std::optional<agent_packet> decode_agent_packet(
+    std::span<std::byte const> data);
+
+} // namespace radishspread::wire
+
+#endif
--- /dev/null
+++ b/packages/wire/src/rs_agent_packet_codec.cpp
@@ -0,0 +1,108 @@
+#include <radishspread/wire/rs_agent_packet_codec.hpp>
+
+#include <boost/endian/buffers.hpp>
+
+#include <bit>
+#include <cstring>
+
+namespace radishspread::wire {
+
+namespace {
+
+using namespace boost::endian;
+
+/// First byte of each message: tells it from other datagrams, and its format.
+constexpr std::uint8_t format_mark = 0xb1;
+
+constexpr std::uint8_t forced_flag = 1;
+constexpr std::uint8_t cold_flag = 2;
+constexpr std::uint8_t located_flag = 4;
+
+/// The layout: big-endian, no padding.
+struct head {
+    std::uint8_t mark;
+    std::uint8_t kind;
+    std::uint8_t why;
+    std::uint8_t flags;
+    big_uint32_buf_t service;
+    big_uint64_buf_t route_version;
+    big_uint32_buf_t caller_address;
+    big_uint32_buf_t service_address;
+    big_uint16_buf_t caller_port;
+    big_uint16_buf_t service_port;
+    big_uint16_buf_t cold_rate;
+    big_uint16_buf_t in_progress;
+    big_uint16_buf_t slots;
+    big_uint16_buf_t flows;
+    big_uint32_buf_t handshake;
+};
+static_assert(sizeof(head) == agent_packet_head_size);
+
+std::uint8_t flags_of(agent_packet const& it) {
+    unsigned const flags = (it.is_forced ? forced_flag : 0U) |
+                           (it.is_cold ? cold_flag : 0U) |
+                           (it.was_located ? located_flag : 0U);
+    return static_cast<std::uint8_t>(flags);
+}
+
+bool is_valid(head const& it) {
+    return it.mark == format_mark &&
+           it.kind >= static_cast<std::uint8_t>(agent_packet_kind::open) &&
+           it.kind <= static_cast<std::uint8_t>(agent_packet_kind::leaving) &&
+           it.why <= static_cast<std::uint8_t>(last_refusal);
+}
+
+} // namespace
+
+std::array<std::byte, agent_packet_head_size> encode_agent_packet_head(
+    agent_packet const& message) {
+    head const out{
+        .mark = format_mark,
+        .kind = static_cast<std::uint8_t>(message.kind),
+        .why = static_cast<std::uint8_t>(message.why),
+        .flags = flags_of(message),
+        .service = big_uint32_buf_t(message.service),
+        .route_version = big_uint64_buf_t(message.route_version),
+        .caller_address = big_uint32_buf_t(message.flow.caller.address),
+        .service_address = big_uint32_buf_t(message.flow.service.address),
+        .caller_port = big_uint16_buf_t(message.flow.caller.port),
+        .service_port = big_uint16_buf_t(message.flow.service.port),
+        .cold_rate = big_uint16_buf_t(message.cold_rate),
+        .in_progress = big_uint16_buf_t(message.in_progress),
+        .slots = big_uint16_buf_t(message.slots),
+        .flows = big_uint16_buf_t(message.flows),
+        .handshake = big_uint32_buf_t(message.handshake),
+    };
+    return std::bit_cast<std::array<std::byte, agent_packet_head_size>>(out);
+}
+
+std::optional<agent_packet> decode_agent_packet(
+    std::span<std::byte const> data) {
+    if (data.size() < agent_packet_head_size)
+        return std::nullopt;
+    head in{};
+    std::memcpy(&in, data.data(), sizeof in);
+    if (!is_valid(in))
+        return std::nullopt;
+    return agent_packet{
+        .kind = static_cast<agent_packet_kind>(in.kind),
+        .why = static_cast<refusal>(in.why),
+        .is_forced = (in.flags & forced_flag) != 0,
+        .is_cold = (in.flags & cold_flag) != 0,
+        .was_located = (in.flags & located_flag) != 0,
+        .service = in.service.value(),
+        .route_version = in.route_version.value(),
+        .cold_rate = in.cold_rate.value(),
+        .in_progress = in.in_progress.value(),
+        .slots = in.slots.value(),
+        .flows = in.flows.value(),
+        .handshake = in.handshake.value(),
+        .flow = {.caller = {.address = in.caller_address.value(),
+                     .port = in.caller_port.value()},
+            .service = {.address = in.service_address.value(),
+                .port = in.service_port.value()}},
+        .packet = data.subspan(agent_packet_head_size),
+    };
+}
+
+} // namespace radishspread::wire
