Balancers learn from peers, wait for newer routes, reset dead flows

Ruled out: declining less at the agents, which would break the rule that routes never go back; resetting on the first denial, which could hit a flow at a backend server that this balancer has not heard of.

Change: balancers serve their items to each other and ask a peer for every second call while the store fails; an opening declined for stale routes waits for the read; a flow denied by all agents is reset after a read of the store that began later, and denied again. Agents that were there before their backend server know all flows and try none.

Tests (both failed first): opening_declined_for_stale_routes_waits_for_new_ones, flow_that_nobody_holds_is_reset_after_a_fresh_read.

--- a/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
@@ -111,6 +111,9 @@
 template <packet_sink Sink>
 void packet_agent::send_not_held(endpoint to, packet_flow const& flow,
     bool was_located, std::span<std::byte const> bytes, Sink& sink) {
+    // A searching balancer has kept the packet.
+    if (was_located)
+        bytes = {};
     sink.send(to, {.kind = agent_packet_kind::not_held,
                       .why = refusal::not_held,
                       .was_located = was_located,
@@ -132,9 +135,8 @@
             it.state == held_state::offered &&
             !it.matches(packet.is_acknowledging, packet.acknowledged);
         if (it.state == held_state::absent || is_other) {
-            if (!is_locate)
-                send_not_held(from, message.flow, false, message.packet, sink);
-            return;
+            return send_not_held(
+                from, message.flow, is_locate, message.packet, sink);
         }
         note_caller_packet(now, it, packet);
         it.balancer = from;
@@ -145,6 +147,9 @@
         }
         return sink.send_backend(packet.bytes);
     }
+    if (knows_all_flows_)
+        return send_not_held(
+            from, message.flow, is_locate, message.packet, sink);
     if (flows_.size() >= options_.max_flows)
         return sink.send_backend(packet.bytes);
     // Unknown: opened before this process started, or elsewhere. The backend
@@ -226,6 +231,7 @@
 template <packet_sink Sink>
 void packet_agent::view_changed(instant now, Sink& sink) {
     auto const* self = view_.find(options_.backend);
+    note_announcement(self);
     int state = 0;
     if (self != nullptr)
         state = (self->is_draining || self->is_gone ? 1 : 0) +
--- a/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
@@ -24,11 +24,32 @@
     // Openings of before the pause have been given up by their callers, and
     // the routes may have changed meanwhile.
     openings_.clear();
+    searches_.clear();
     is_proven_ = false;
     sink.refresh_view();
     return true;
 }
 
+template <packet_sink Sink>
+void packet_balancer::view_confirmed(
+    instant now, instant read_started, Sink& sink) {
+    is_proven_ = true;
+    for (auto it = openings_.begin(); it != openings_.end();) {
+        auto& entry = it->second;
+        bool is_over = false;
+        if (entry.awaits_view) {
+            entry.awaits_view = false;
+            entry.tried.clear();
+            is_over = !place(now, it->first, entry, sink);
+        }
+        it = is_over ? openings_.erase(it) : std::next(it);
+    }
+    for (auto& [flow, it] : searches_)
+        if (it.denied_at != instant{} && it.denied_at < read_started &&
+            it.unanswered.empty())
+            ask_all(now, flow, it, sink);
+}
+
 template <packet_sink Sink>
 void packet_balancer::handle_caller(
     instant now, flow_packet const& packet, Sink& sink) {
@@ -156,7 +177,7 @@
     }
     auto const service = view_.service_of(flow.service);
     if (service != 0)
-        return search(now, packet, service, {}, sink);
+        return search(now, packet, service, sink);
     if (!is_ready() || packet.is_reset)
         return;
     sink.log({.number = packet_event::flow_reset,
@@ -169,28 +190,67 @@
 // The packet itself goes to all agents of the service, so that the search
 // costs the caller no time: the holder passes it on and says so.
 template <packet_sink Sink>
-void packet_balancer::search(instant now, flow_packet const& packet,
-    std::uint32_t service, endpoint except, Sink& sink) {
-    if (!searches_.admit(now, options_.max_searches))
+void packet_balancer::search(
+    instant now, flow_packet const& packet, std::uint32_t service, Sink& sink) {
+    auto const flow = packet.from_caller();
+    auto& it = searches_[flow];
+    it.service = service;
+    it.started = now;
+    it.acknowledged = packet.acknowledged;
+    it.packet.assign(packet.bytes.begin(), packet.bytes.end());
+    ask_all(now, flow, it, sink);
+}
+
+template <packet_sink Sink>
+void packet_balancer::ask_all(instant now, packet_flow const& flow,
+    internal::flow_search& it, Sink& sink) {
+    it.unanswered.clear();
+    if (!search_rate_.admit(now, options_.max_searches))
         return;
-    auto const message =
-        make_message(agent_packet_kind::locate, service, packet);
+    agent_packet const message{.kind = agent_packet_kind::locate,
+        .service = it.service,
+        .route_version = view_.route_version(),
+        .flow = flow,
+        .packet = {it.packet.data(), it.packet.size()}};
     boost::container::small_vector<endpoint, 16> asked;
-    for (auto const* member : view_.members_of(service)) {
+    for (auto const* member : view_.members_of(it.service)) {
         auto const agent = agent_of(*member);
-        bool const is_known =
-            std::find(asked.begin(), asked.end(), agent) != asked.end();
-        if (agent == except || is_known)
+        if (std::find(asked.begin(), asked.end(), agent) != asked.end())
             continue;
         asked.push_back(agent);
         sink.send(agent, message);
+        // A backend server gone for long has left its flows.
+        if (!member->is_gone || now - member->gone_at < options_.gone_grace)
+            it.unanswered.push_back(agent);
     }
     sink.log({.number = packet_event::flow_sought,
-        .flow = packet.from_caller(),
+        .flow = flow,
         .version = view_.route_version(),
         .value = static_cast<std::int64_t>(asked.size())});
 }
 
+// A reset spares the caller the wait for its timeout. It is sent only if every
+// backend server of the service was asked and none holds the flow.
+template <packet_sink Sink>
+void packet_balancer::on_denied(
+    instant now, endpoint from, packet_flow const& flow, Sink& sink) {
+    auto const found = searches_.find(flow);
+    if (found == searches_.end() || !found->second.deny(from))
+        return;
+    auto& it = found->second;
+    if (it.denied_at == instant{}) {
+        it.denied_at = now;
+        return sink.refresh_view();
+    }
+    sink.log({.number = packet_event::flow_reset,
+        .flow = flow,
+        .why = refusal::not_held,
+        .version = view_.route_version(),
+        .age_ms = (now - it.denied_at) / std::chrono::milliseconds(1)});
+    sink.reset_caller(flow, it.acknowledged);
+    searches_.erase(found);
+}
+
 template <packet_sink Sink>
 void packet_balancer::handle(instant now, endpoint from,
     agent_packet const& message, flow_packet const* packet, Sink& sink) {
@@ -217,6 +277,7 @@
 void packet_balancer::on_held(
     instant now, endpoint from, agent_packet const& message, Sink& sink) {
     loads_.report(now, from, message);
+    searches_.erase(message.flow);
     bool const was_opening = openings_.erase(message.flow) > 0;
     if (!was_opening)
         sink.log({.number = packet_event::flow_found,
@@ -243,6 +304,13 @@
     }
     if (it.agent != from) // Another one was asked meanwhile.
         return;
+    if (message.why == refusal::stale_view) {
+        // Whatever the newer routes say of this opening, it is not refused for
+        // what this process has not read yet.
+        it.awaits_view = true;
+        it.answer_due = instant::max();
+        return;
+    }
     if (!place(now, message.flow, it, sink))
         openings_.erase(message.flow);
 }
@@ -251,12 +319,14 @@
 void packet_balancer::on_not_held(instant now, endpoint from,
     agent_packet const& message, flow_packet const* packet, Sink& sink) {
     loads_.heard(from);
+    if (message.was_located)
+        return on_denied(now, from, message.flow, sink);
     auto const it = flows_.find(message.flow);
     if (it != flows_.end() && it->second.agent == from)
         flows_.erase(it);
     auto const service = view_.service_of(message.flow.service);
-    if (packet != nullptr && !message.was_located && service != 0)
-        search(now, *packet, service, from, sink);
+    if (packet != nullptr && service != 0)
+        search(now, *packet, service, sink);
 }
 
 template <packet_sink Sink>
--- a/packages/core/include/radishspread/core/internal/rs_pending_opening.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_pending_opening.hpp
@@ -22,6 +22,7 @@
     endpoint least_loaded; ///< Of the agents without a free slot.
     double least_share = 0;
     bool is_forced = false;
+    bool awaits_view = false;      ///< Goes on once newer routes were read.
     bool has_silent_agent = false; ///< One did not answer, and may yet take it.
     refusal last_refusal = refusal::none;
 };
--- a/packages/core/include/radishspread/core/rs_fleet_view.hpp
+++ b/packages/core/include/radishspread/core/rs_fleet_view.hpp
@@ -45,6 +45,10 @@
     /// announcements may have lapsed because they could not renew them.
     void set_reachable(instant now, bool is_reachable);
 
+    /// Items in effect whose names begin with `prefix`, for a peer.
+    [[nodiscard]] std::vector<fleet_change> items(
+        instant now, std::string_view prefix) const;
+
     /// Forgets backend servers that are gone for long.
     void tick(instant now);
 
@@ -75,11 +79,14 @@
     static constexpr duration lapse_hold = std::chrono::milliseconds(2500);
 
 private:
-    void apply_routes(route_set const& value);
+    void apply_routes(std::string const& name, route_set const& value);
     void apply_member(
         instant now, std::string const& name, backend_announcement const& it);
     void remove(instant now, std::string const& name);
     void index_members();
+    [[nodiscard]] route_set routes() const;
+    [[nodiscard]] backend_announcement announcement_of(
+        instant now, member const& it) const;
 
     std::map<std::string, revision, std::less<>> revisions_;
     std::map<std::string, member, std::less<>> members_;
@@ -89,6 +96,7 @@
     std::map<std::uint32_t, instant> returned_;
     std::map<endpoint, std::uint32_t> routes_;
     std::vector<service_warmup> warmups_;
+    std::string routes_name_; ///< Item that the routes come from.
     std::uint64_t version_ = 0;
     revision newest_ = 0;
     bool is_reachable_ = true;
--- a/packages/core/include/radishspread/core/rs_item_follower.hpp
+++ b/packages/core/include/radishspread/core/rs_item_follower.hpp
@@ -29,6 +29,7 @@
     std::string prefix; ///< Names of the items followed begin with it.
     duration wait = std::chrono::milliseconds(2500);
     duration read_limit = std::chrono::milliseconds(1500);
+    duration peer_limit = std::chrono::milliseconds(500);
     /// Beyond `wait`, after which a watch without an answer has failed.
     duration watch_grace = std::chrono::milliseconds(1000);
     /// Changes that follow each other are collected for this long: each watch
@@ -66,6 +67,11 @@
     [[nodiscard]] instant due() const { return due_; }
     [[nodiscard]] bool is_outstanding() const { return is_outstanding_; }
     [[nodiscard]] unsigned failures() const { return failures_; }
+    /// Begin of the last complete read of the configuration service; default if
+    /// none has ended.
+    [[nodiscard]] instant read_started() const { return complete_since_; }
+    /// Revision up to which the view is complete.
+    [[nodiscard]] revision as_of() const { return after_; }
     /// Time of the last answer.
     [[nodiscard]] instant answered_at() const { return answered_at_; }
     /// True if a complete read has ended since start or restart.
@@ -75,6 +81,7 @@
 
 private:
     bool handle_read(instant now, item_page const& page, fleet_view& view);
+    bool handle_peer(instant now, item_page const& page, fleet_view& view);
     void begin_read(instant now);
 
     item_follower_options options_;
@@ -83,6 +90,8 @@
     bool is_outstanding_ = false;
     bool is_complete_ = false;
     instant due_;
+    instant read_started_;
+    instant complete_since_;
     instant answered_at_;
     instant restarted_at_;
     unsigned failures_ = 0;
--- a/packages/core/include/radishspread/core/rs_packet_agent.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_agent.hpp
@@ -35,7 +35,8 @@
     template <packet_sink Sink>
     void handle_backend(instant now, flow_packet const& packet, Sink& sink);
 
-    /// Items of the configuration have changed.
+    /// The first complete read of the configuration has ended, or an item has
+    /// changed after it.
     template <packet_sink Sink> void view_changed(instant now, Sink& sink);
 
     /// Detects a pause; true if what was received before now is too old.
@@ -83,6 +84,7 @@
         instant now, internal::held_flow& it, flow_packet const& packet);
     void note_backend_packet(
         instant now, internal::held_flow& it, flow_packet const& packet);
+    void note_announcement(fleet_view::member const* self);
     /// Forgets flows that ended or are idle.
     void sweep(instant now);
     [[nodiscard]] internal::held_flow& insert(
@@ -98,6 +100,9 @@
     internal::rate_window cold_window_{std::chrono::seconds(1)};
     std::uint16_t cold_rate_ = 0; ///< As the last balancer gave it.
     int reported_state_ = -1;
+    bool has_read_ = false;
+    bool was_first_ = false; ///< Started before the announcement was seen.
+    bool knows_all_flows_ = false;
     instant last_event_;
     instant last_backend_packet_;
     instant oldest_unanswered_; ///< Opening without a reply; default: none.
--- a/packages/core/include/radishspread/core/rs_packet_agent_options.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_agent_options.hpp
@@ -14,6 +14,7 @@
     std::uint32_t service = 0; ///< `name_tag` of the service it stands before.
     std::uint32_t domain = 0;  ///< `name_tag` of its failure domain.
     endpoint backend;          ///< Where the backend server receives packets.
+    std::uint64_t started_unix_ms = 0; ///< Start of this process.
     std::size_t max_flows = 16384;
     /// After this time without a packet a flow is forgotten.
     duration idle_limit = std::chrono::seconds(60);
--- a/packages/core/include/radishspread/core/rs_packet_balancer.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_balancer.hpp
@@ -3,6 +3,7 @@
 
 #include <radishspread/core/internal/rs_agent_loads.hpp>
 #include <radishspread/core/internal/rs_flow_cache.hpp>
+#include <radishspread/core/internal/rs_flow_search.hpp>
 #include <radishspread/core/internal/rs_jitter.hpp>
 #include <radishspread/core/internal/rs_pending_opening.hpp>
 #include <radishspread/core/internal/rs_placement.hpp>
@@ -41,8 +42,10 @@
     /// Detects a pause; true if what was received before now is too old.
     template <packet_sink Sink> bool check_pause(instant now, Sink& sink);
 
-    /// Items of the configuration have changed or were confirmed.
-    void view_confirmed() { is_proven_ = true; }
+    /// A complete read of the configuration that began at `read_started` has
+    /// ended.
+    template <packet_sink Sink>
+    void view_confirmed(instant now, instant read_started, Sink& sink);
 
     template <packet_sink Sink> void tick(instant now, Sink& sink);
 
@@ -63,6 +66,8 @@
     using opening = internal::opening_in_progress;
     using opening_table =
         std::unordered_map<packet_flow, opening, packet_flow_hash>;
+    using search_table = std::unordered_map<packet_flow, internal::flow_search,
+        packet_flow_hash>;
 
     template <packet_sink Sink>
     void on_open(instant now, flow_packet const& packet, Sink& sink);
@@ -70,7 +75,14 @@
     void on_packet(instant now, flow_packet const& packet, Sink& sink);
     template <packet_sink Sink>
     void search(instant now, flow_packet const& packet, std::uint32_t service,
-        endpoint except, Sink& sink);
+        Sink& sink);
+    /// Sends the packet of the search to all agents of the service.
+    template <packet_sink Sink>
+    void ask_all(instant now, packet_flow const& flow,
+        internal::flow_search& it, Sink& sink);
+    template <packet_sink Sink>
+    void on_denied(
+        instant now, endpoint from, packet_flow const& flow, Sink& sink);
     /// Asks the next agent to take the opening. Returns false if it ended.
     template <packet_sink Sink>
     bool place(instant now, packet_flow const& flow, opening& it, Sink& sink);
@@ -110,8 +122,9 @@
     fleet_view view_;
     internal::flow_cache flows_;
     opening_table openings_;
+    search_table searches_;
     internal::agent_loads loads_;
-    internal::rate_window searches_{std::chrono::seconds(1)};
+    internal::rate_window search_rate_{std::chrono::seconds(1)};
     internal::jitter random_;
     bool is_proven_ = false;
     instant last_event_;
--- a/packages/core/include/radishspread/core/rs_packet_balancer_options.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_balancer_options.hpp
@@ -27,6 +27,11 @@
     duration load_age_limit = std::chrono::seconds(1);
     /// Packets a second that may be sent to all agents of a service.
     std::size_t max_searches = 4000;
+    /// A search that found nothing is forgotten after this time.
+    duration search_limit = std::chrono::seconds(3);
+    /// A removed backend server may live on, its announcement lapsed; after
+    /// this time its agent need not deny a flow any more.
+    duration gone_grace = std::chrono::seconds(5);
     duration pause_limit = std::chrono::seconds(1);
     std::uint64_t seed = 1; ///< Of the random choices.
 };
--- a/packages/core/src/rs_fleet_view.cpp
+++ b/packages/core/src/rs_fleet_view.cpp
@@ -14,7 +14,7 @@
     auto const* backend = std::get_if<backend_announcement>(&change.content);
     auto const* domain = std::get_if<domain_taken_out>(&change.content);
     if (routes != nullptr) {
-        apply_routes(*routes);
+        apply_routes(change.name, *routes);
     } else if (backend != nullptr) {
         apply_member(now, change.name, *backend);
     } else if (domain != nullptr) {
@@ -27,9 +27,10 @@
 
 // A version of the routes never gives way to an older one, even if an item of
 // a higher revision has it.
-void fleet_view::apply_routes(route_set const& value) {
+void fleet_view::apply_routes(std::string const& name, route_set const& value) {
     if (value.version <= version_)
         return;
+    routes_name_ = name;
     version_ = value.version;
     warmups_ = value.warmups;
     routes_.clear();
@@ -83,6 +84,45 @@
     is_reachable_ = is_reachable;
 }
 
+std::vector<fleet_change> fleet_view::items(
+    instant now, std::string_view prefix) const {
+    std::vector<fleet_change> out;
+    for (auto it = revisions_.lower_bound(prefix);
+         it != revisions_.end() && it->first.starts_with(prefix); ++it) {
+        fleet_change item{.name = it->first, .revision = it->second};
+        auto const found = members_.find(item.name);
+        auto const domain = domains_out_.find(item.name);
+        if (item.name == routes_name_)
+            item.content = routes();
+        else if (domain != domains_out_.end())
+            item.content = domain_taken_out{.domain = domain->second};
+        else if (found != members_.end() && !found->second.is_gone)
+            item.content = announcement_of(now, found->second);
+        else
+            continue;
+        out.push_back(std::move(item));
+    }
+    return out;
+}
+
+route_set fleet_view::routes() const {
+    route_set out{.version = version_, .warmups = warmups_};
+    for (auto const& [address, service] : routes_)
+        out.routes.push_back({.address = address, .service = service});
+    return out;
+}
+
+backend_announcement fleet_view::announcement_of(
+    instant now, member const& it) const {
+    return {.service = it.service,
+        .domain = it.domain,
+        .backend = it.backend,
+        .slots = it.slots,
+        .is_draining = it.is_draining,
+        .warmup_left = std::max(it.cold_until - now, duration{0}),
+        .born = it.born};
+}
+
 void fleet_view::tick(instant now) {
     auto const is_over = [&](auto const& it) {
         return it.second.is_gone && now - it.second.gone_at > gone_limit;
--- a/packages/core/src/rs_item_follower.cpp
+++ b/packages/core/src/rs_item_follower.cpp
@@ -12,31 +12,35 @@
     if (is_outstanding_ || now < due_)
         return std::nullopt;
     is_outstanding_ = true;
+    // While the service does not answer, every other call goes to a peer: what
+    // it has learned meanwhile counts as much.
+    bool const asks_peer = options_.peers > 0 && failures_ % 2 == 1;
+    source_ = asks_peer ? 1 + random_.below(options_.peers) : 0;
+    if (asks_peer)
+        return item_call{.prefix = options_.prefix,
+            .limit = options_.peer_limit,
+            .source = source_};
     if (is_watching_)
         return item_call{.is_watch = true,
             .prefix = options_.prefix,
             .after = after_,
             .wait = options_.wait,
             .limit = options_.wait + options_.watch_grace};
-    // A view that is not complete may come from a peer while the service does
-    // not answer; a complete one waits for the service.
-    bool const asks_peer =
-        options_.peers > 0 && !is_complete_ && failures_ % 2 == 1;
-    source_ = asks_peer ? 1 + random_.below(options_.peers) : 0;
+    if (after_name_.empty())
+        read_started_ = now;
     return item_call{.prefix = options_.prefix,
         .after_name = after_name_,
-        .limit = options_.read_limit,
-        .source = source_};
+        .limit = options_.read_limit};
 }
 
 bool item_follower::handle_page(
     instant now, item_page const& page, fleet_view& view) {
     is_outstanding_ = false;
+    if (source_ != 0)
+        return handle_peer(now, page, view);
     answered_at_ = now;
-    if (source_ == 0 || is_watching_) {
-        failures_ = 0;
-        view.set_reachable(now, true);
-    }
+    failures_ = 0;
+    view.set_reachable(now, true);
     if (!is_watching_)
         return handle_read(now, page, view);
     for (auto const& it : page.changes)
@@ -46,6 +50,24 @@
     return true;
 }
 
+// A peer may be behind, but never takes back what is held here: only higher
+// revisions count. The service is asked again next.
+bool item_follower::handle_peer(
+    instant now, item_page const& page, fleet_view& view) {
+    std::set<std::string, std::less<>> names;
+    for (auto const& it : page.changes) {
+        view.apply(now, it);
+        names.insert(it.name);
+    }
+    view.finish_read(now, options_.prefix, names, page.as_of);
+    is_complete_ = is_complete_ || page.as_of > 0;
+    after_ = std::max(after_, page.as_of);
+    ++failures_;
+    due_ = now + random_.backoff(failures_, options_.backoff_minimum,
+                     options_.backoff_maximum);
+    return is_complete_;
+}
+
 // Pages are no snapshot: what changed while they were read is seen by the
 // watch, which begins at the revision of the first page.
 bool item_follower::handle_read(
@@ -63,15 +85,10 @@
     }
     view.finish_read(now, options_.prefix, names_, read_from_);
     is_complete_ = true;
-    if (source_ == 0) {
-        is_watching_ = true;
-        after_ = read_from_;
-    } else {
-        // Held from a peer; the service is asked until it answers.
-        due_ = now + random_.backoff(failures_, options_.backoff_minimum,
-                         options_.backoff_maximum);
-    }
-    begin_read(due_);
+    is_watching_ = true;
+    after_ = std::max(after_, read_from_);
+    complete_since_ = read_started_;
+    begin_read(now);
     return true;
 }
 
@@ -94,7 +111,7 @@
     if (is_outage && source_ == 0)
         view.set_reachable(now, false);
     ++failures_;
-    if (!is_watching_)
+    if (!is_watching_ && source_ == 0)
         begin_read(now);
     due_ = now + options_.backoff_minimum / 4 +
            random_.backoff(
--- a/packages/core/src/rs_packet_agent.cpp
+++ b/packages/core/src/rs_packet_agent.cpp
@@ -12,6 +12,9 @@
 /// Interval at which a backend server that does not answer gets an opening.
 constexpr duration trial_interval = std::chrono::milliseconds(200);
 
+/// A backend server and its agent start together, in any order.
+constexpr std::uint64_t start_tolerance_ms = 1000;
+
 bool counts_as_open(held_state state) {
     return state <= held_state::open;
 }
@@ -95,6 +98,22 @@
     return it->second;
 }
 
+// Nothing is opened at a backend server before it is announced. An agent that
+// was there first has seen every flow, and need not try unknown ones at the
+// backend server. A missing announcement alone proves nothing: it may have
+// lapsed while the backend server lived on.
+void packet_agent::note_announcement(fleet_view::member const* self) {
+    if (!has_read_) {
+        has_read_ = true;
+        was_first_ = self == nullptr;
+    }
+    if (self == nullptr || knows_all_flows_ || !was_first_)
+        return;
+    was_first_ = false;
+    knows_all_flows_ =
+        self->born + start_tolerance_ms >= options_.started_unix_ms;
+}
+
 void packet_agent::sweep(instant now) {
     for (auto entry = flows_.begin(); entry != flows_.end();) {
         auto& it = entry->second;
--- a/packages/core/src/rs_packet_balancer.cpp
+++ b/packages/core/src/rs_packet_balancer.cpp
@@ -107,6 +107,9 @@
 // A full table drops flows that were quiet for half of the usual time, then
 // for less: each costs one search if it goes on.
 void packet_balancer::sweep(instant now) {
+    std::erase_if(searches_, [&](auto const& it) {
+        return now - it.second.started >= options_.search_limit;
+    });
     auto limit = options_.idle_limit;
     do {
         std::erase_if(flows_, [&](auto const& it) {
--- /dev/null
+++ b/packages/core/tests/rs_packet_balancer_test.cpp
@@ -0,0 +1,204 @@
+#include "rs_packet_sink.hpp"
+
+#include <radishspread/core/rs_packet_balancer.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace radishspread;
+using namespace radishspread::test;
+
+namespace {
+
+instant at(int ms) {
+    return instant(std::chrono::hours(1)) + std::chrono::milliseconds(ms);
+}
+
+} // namespace
+
+TEST_GROUP(packet_balancer) {
+    packet_recorder sink;
+    packet_balancer core{packet_balancer_options{
+        .domain = test_domain, .agent_port = agent_port}};
+
+    void setup() override {
+        core.start(at(0), sink);
+        core.view().apply(at(0), routes_of(5, 1));
+        for (std::uint32_t n = 1; n <= 3; ++n)
+            core.view().apply(at(0), announcement_of(n, 1 + n));
+        core.view_confirmed(at(0), at(0), sink);
+    }
+
+    /// Opens a flow; returns the agent that was asked.
+    endpoint open(packet_flow const& flow, int ms) {
+        core.handle_caller(at(ms), opening_packet(flow), sink);
+        return sink.sent.back().to;
+    }
+
+    void answer(endpoint from, agent_packet const& message, int ms) {
+        auto const packet = opening_packet(message.flow);
+        core.handle(at(ms), from, message,
+            message.packet.empty() ? nullptr : &packet, sink);
+    }
+
+    void hold(endpoint agent, packet_flow const& flow, int ms,
+        std::uint32_t handshake = 100) {
+        answer(agent,
+            {.kind = agent_packet_kind::held,
+                .service = test_service,
+                .route_version = 5,
+                .slots = 2,
+                .handshake = handshake,
+                .flow = flow},
+            ms);
+    }
+
+    void decline(endpoint agent, packet_flow const& flow, refusal why, int ms,
+        std::uint64_t version = 5) {
+        answer(agent,
+            {.kind = agent_packet_kind::declined,
+                .why = why,
+                .service = test_service,
+                .route_version = version,
+                .in_progress = 2,
+                .slots = 2,
+                .flow = flow,
+                .packet = packet_bytes},
+            ms);
+    }
+
+    void deny_all(packet_flow const& flow, int ms) {
+        for (std::uint32_t n = 1; n <= 3; ++n)
+            answer(agent_address(n),
+                {.kind = agent_packet_kind::not_held,
+                    .why = refusal::not_held,
+                    .was_located = true,
+                    .service = test_service,
+                    .route_version = 5,
+                    .flow = flow},
+                ms);
+    }
+};
+
+TEST(packet_balancer, later_packet_of_held_flow_goes_to_its_agent) {
+    auto const agent = open(flow_of(1), 0);
+    hold(agent, flow_of(1), 1);
+    sink.clear();
+    core.handle_caller(at(2), caller_packet_of(flow_of(1), 101), sink);
+    CHECK_EQUAL(1, sink.sent.size());
+    CHECK(sink.sent[0].to == agent);
+    CHECK(sink.sent[0].message.kind == agent_packet_kind::carry);
+}
+
+// Guards against waiting for the caller's second copy, 200 ms later, when the
+// agent asked first is dead.
+TEST(packet_balancer, opening_without_answer_goes_to_another_agent) {
+    auto const first = open(flow_of(1), 0);
+    core.tick(at(50), sink);
+    CHECK_EQUAL(2, sink.count(agent_packet_kind::open));
+    CHECK(sink.sent.back().to != first);
+}
+
+// Two agents may both have offered a flow; sending the caller's packets to the
+// one that it did not take would break the flow.
+TEST(packet_balancer, flow_offered_twice_goes_where_the_caller_took_it) {
+    auto const first = open(flow_of(1), 0);
+    core.tick(at(50), sink);
+    auto const second = sink.sent.back().to;
+    hold(second, flow_of(1), 55, 500);
+    hold(first, flow_of(1), 60, 900);
+    sink.clear();
+    core.handle_caller(at(61), caller_packet_of(flow_of(1), 901), sink);
+    CHECK(sink.sent[0].to == first);
+}
+
+TEST(packet_balancer, opening_without_free_slot_anywhere_waits_at_one) {
+    open(flow_of(1), 0);
+    for (int n = 0; n != 3; ++n)
+        decline(sink.sent.back().to, flow_of(1), refusal::overloaded, 1);
+    CHECK_EQUAL(4, sink.count(agent_packet_kind::open));
+    CHECK(sink.sent.back().message.is_forced);
+    CHECK(sink.resets.empty());
+}
+
+TEST(packet_balancer, opening_that_nobody_can_take_is_reset_at_once) {
+    open(flow_of(1), 0);
+    for (int n = 0; n != 3; ++n)
+        decline(sink.sent.back().to, flow_of(1), refusal::draining, 1);
+    CHECK_EQUAL(1, sink.resets.size());
+}
+
+// A silent agent may still take the opening, and a reset would break the flow.
+TEST(packet_balancer, opening_with_a_silent_agent_is_not_reset) {
+    open(flow_of(1), 0);
+    core.tick(at(50), sink);
+    decline(sink.sent.back().to, flow_of(1), refusal::draining, 51);
+    decline(sink.sent.back().to, flow_of(1), refusal::draining, 52);
+    CHECK(sink.resets.empty());
+}
+
+TEST(packet_balancer, opening_without_route_is_reset) {
+    auto flow = flow_of(1);
+    flow.service.port = 444;
+    core.handle_caller(at(0), opening_packet(flow), sink);
+    CHECK_EQUAL(1, sink.resets.size());
+}
+
+// A balancer that the configuration service turns away hears of newer routes
+// from the agents; refusing its callers until it is served again cost every
+// opening of a failure domain for nine seconds.
+TEST(packet_balancer, opening_declined_for_stale_routes_waits_for_new_ones) {
+    open(flow_of(1), 0);
+    decline(sink.sent.back().to, flow_of(1), refusal::stale_view, 1, 6);
+    CHECK(sink.resets.empty());
+    CHECK(sink.refreshes > 0);
+    sink.clear();
+    core.view().apply(at(20), routes_of(6, 9));
+    core.view_confirmed(at(20), at(2), sink);
+    CHECK_EQUAL(1, sink.count(agent_packet_kind::open));
+    CHECK_EQUAL(6, sink.sent[0].message.route_version);
+}
+
+TEST(packet_balancer, unknown_flow_is_sought_at_all_agents) {
+    core.handle_caller(at(0), caller_packet_of(flow_of(1), 7), sink);
+    CHECK_EQUAL(3, sink.count(agent_packet_kind::locate));
+}
+
+// After a power loss nobody holds the flows of before, and their callers waited
+// for two seconds each.
+TEST(packet_balancer, flow_that_nobody_holds_is_reset_after_a_fresh_read) {
+    core.handle_caller(at(0), caller_packet_of(flow_of(1), 7), sink);
+    deny_all(flow_of(1), 2);
+    CHECK(sink.resets.empty());
+    CHECK_EQUAL(1, sink.refreshes);
+    core.view_confirmed(at(20), at(3), sink);
+    CHECK_EQUAL(6, sink.count(agent_packet_kind::locate));
+    deny_all(flow_of(1), 22);
+    CHECK_EQUAL(1, sink.resets.size());
+    CHECK_EQUAL(7, sink.resets[0].second);
+}
+
+// A backend server that this process has not heard of yet may hold the flow.
+TEST(packet_balancer, denied_flow_is_not_reset_on_an_old_read) {
+    core.handle_caller(at(10), caller_packet_of(flow_of(1), 7), sink);
+    deny_all(flow_of(1), 12);
+    core.view_confirmed(at(20), at(5), sink);
+    deny_all(flow_of(1), 22);
+    CHECK(sink.resets.empty());
+}
+
+// The agent of the holder may only be restarting.
+TEST(packet_balancer, flow_is_not_reset_while_one_agent_is_silent) {
+    core.handle_caller(at(0), caller_packet_of(flow_of(1), 7), sink);
+    for (int round = 0; round != 3; ++round) {
+        for (std::uint32_t n = 1; n <= 2; ++n)
+            answer(agent_address(n),
+                {.kind = agent_packet_kind::not_held,
+                    .was_located = true,
+                    .service = test_service,
+                    .route_version = 5,
+                    .flow = flow_of(1)},
+                2);
+        core.view_confirmed(at(20), at(3), sink);
+    }
+    CHECK(sink.resets.empty());
+}
--- a/packages/runtime/include/radishspread/runtime/rs_item_source.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_item_source.hpp
@@ -6,6 +6,7 @@
 #include <radishspread/core/rs_packet_log.hpp>
 #include <radishspread/runtime/rs_configuration_client.hpp>
 #include <radishspread/runtime/rs_packet_platform.hpp>
+#include <radishspread/wire/rs_item_codec.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -14,18 +15,19 @@
 
 namespace radishspread::runtime {
 
+/// Called after each answer; `is_read` if it ended a complete read.
+using change_call = std::function<void(item_page const&, bool is_read)>;
+
 /// Makes the calls of one follower and merges the answers into a view.
 template <packet_platform Platform> class item_source {
 public:
-    /// `clients` are the sources of calls by index; `changed` is called after
-    /// each answer.
-    item_source(item_follower_options options, fleet_view& view,
-        std::vector<configuration_client*> clients,
-        std::function<void(item_page const&)> changed,
-        std::function<void(packet_log const&)> log)
-        : follower_(std::move(options)), view_(view),
-          clients_(std::move(clients)), changed_(std::move(changed)),
-          log_(std::move(log)) {}
+    /// `clients` are the sources of calls by index; peers answer `peer_path`.
+    item_source(item_follower_options options, std::string peer_path,
+        fleet_view& view, std::vector<configuration_client*> clients,
+        change_call changed, std::function<void(packet_log const&)> log)
+        : follower_(std::move(options)), peer_path_(std::move(peer_path)),
+          view_(view), clients_(std::move(clients)),
+          changed_(std::move(changed)), log_(std::move(log)) {}
 
     /// Starts the next call if it is due.
     void run(instant now) {
@@ -46,6 +48,7 @@
             ++call_id_;
     }
 
+    [[nodiscard]] item_follower const& follower() const { return follower_; }
     [[nodiscard]] bool is_complete() const { return follower_.is_complete(); }
     [[nodiscard]] bool is_outstanding() const {
         return follower_.is_outstanding();
@@ -62,8 +65,7 @@
         constexpr std::uint16_t too_many_requests = 429;
         auto const now = clock();
         auto body = answer.body;
-        auto const page =
-            answer.is_ok() ? Platform::parse_page(body) : std::nullopt;
+        auto const page = answer.is_ok() ? parse(body) : std::nullopt;
         if (page)
             return use(now, *page);
         if (answer.status == gone) {
@@ -75,25 +77,33 @@
         log_({.number = follower_.failures() == 1 ? packet_event::source_lost
                                                   : packet_event::read_failed,
             .value = answer.status,
-            .text = "configuration service"});
+            .text = asks_peer_ ? "peer" : "configuration service"});
+    }
+
+    [[nodiscard]] std::optional<item_page> parse(std::string& body) const {
+        return asks_peer_ ? wire::decode_items(body)
+                          : Platform::parse_page(body);
     }
 
     void use(instant now, item_page const& page) {
-        if (follower_.failures() > 0)
+        if (follower_.failures() > 0 && !asks_peer_)
             log_({.number = packet_event::source_regained,
                 .value = (now - follower_.answered_at()) /
                          std::chrono::milliseconds(1)});
         if (page.unreadable > 0)
             log_({.number = packet_event::item_ignored,
                 .value = static_cast<std::int64_t>(page.unreadable)});
+        auto const before = follower_.read_started();
         follower_.handle_page(now, page, view_);
-        changed_(page);
+        changed_(page, follower_.read_started() != before || asks_peer_);
     }
 
     item_follower follower_;
+    std::string peer_path_;
+    bool asks_peer_ = false; ///< The outstanding call goes to a peer.
     fleet_view& view_;
     std::vector<configuration_client*> clients_;
-    std::function<void(item_page const&)> changed_;
+    change_call changed_;
     std::function<void(packet_log const&)> log_;
     std::uint64_t call_id_ = 0;
 };
--- a/packages/runtime/include/radishspread/runtime/rs_packet_agent_process.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_agent_process.hpp
@@ -20,7 +20,7 @@
         : shell_(shell), core_(make_options(shell.settings())),
           sources_(shell, core_.view(), Platform::agent_prefixes(),
               {.wait = watch_wait, .collect = collect, .seed = random_number()},
-              [this](item_page const& page) { view_changed(page); }) {}
+              [this](item_page const& page, bool) { view_changed(page); }) {}
 
     [[nodiscard]] int run() {
         core_.start(shell_.enter(), *this);
@@ -65,7 +65,8 @@
         config::packet_settings const& settings) {
         return {.service = name_tag(settings.service),
             .domain = name_tag(settings.failure_domain),
-            .backend = settings.backend_address};
+            .backend = settings.backend_address,
+            .started_unix_ms = wall_nanoseconds() / 1'000'000};
     }
 
     void receive(
@@ -118,7 +119,8 @@
     void view_changed(item_page const& page) {
         for (auto const& it : page.changes)
             shell_.log(describe(it));
-        core_.view_changed(shell_.now(), *this);
+        if (sources_.is_complete())
+            core_.view_changed(shell_.now(), *this);
     }
 
     packet_shell& shell_;
--- a/packages/runtime/include/radishspread/runtime/rs_packet_balancer_process.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_balancer_process.hpp
@@ -19,7 +19,11 @@
         : shell_(shell), core_(make_options(shell.settings())),
           sources_(shell, core_.view(), Platform::balancer_prefixes(),
               {.seed = random_number()},
-              [this](item_page const& page) { view_changed(page); }) {}
+              [this](item_page const& page, bool is_read) {
+                  view_changed(page, is_read);
+              }) {
+        sources_.serve();
+    }
 
     [[nodiscard]] int run() {
         core_.start(shell_.enter(), *this);
@@ -117,11 +121,11 @@
             due == instant::max() ? std::nullopt : std::optional(due));
     }
 
-    void view_changed(item_page const& page) {
+    void view_changed(item_page const& page, bool is_read) {
         for (auto const& it : page.changes)
             shell_.log(describe(it));
-        if (sources_.is_complete())
-            core_.view_confirmed();
+        if (is_read && sources_.is_complete())
+            core_.view_confirmed(shell_.now(), sources_.read_started(), *this);
         schedule();
     }
 
--- a/packages/runtime/include/radishspread/runtime/rs_view_sources.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_view_sources.hpp
@@ -16,17 +16,21 @@
 template <packet_platform Platform> class view_sources {
 public:
     view_sources(packet_shell& shell, fleet_view& view,
-        std::vector<std::string> const& prefixes,
-        item_follower_options const& options,
-        std::function<void(item_page const&)> changed)
-        : shell_(shell),
-          service_({.service = shell.settings().configuration_service}) {
-        for (auto const& prefix : prefixes) {
-            auto own = options;
-            own.prefix = prefix;
-            own.seed += sources_.size();
-            sources_.push_back(std::make_unique<source>(own, view,
-                std::vector<configuration_client*>{&service_}, changed,
+        std::vector<std::string> prefixes, item_follower_options options,
+        change_call changed)
+        : shell_(shell), view_(view), prefixes_(std::move(prefixes)) {
+        auto const& settings = shell.settings();
+        add_client(settings.configuration_service);
+        if (settings.role == config::role::balancer)
+            for (auto const& it : settings.peers)
+                if (it.address != settings.packet_address.address)
+                    add_client({it.address, settings.peer_port});
+        options.peers = clients_.size() - 1;
+        for (std::size_t n = 0; n < prefixes_.size(); ++n) {
+            options.prefix = prefixes_[n];
+            ++options.seed;
+            sources_.push_back(std::make_unique<source>(options, peer_path(n),
+                view, client_pointers(), changed,
                 [this](packet_log const& it) { shell_.log(it); }));
             sources_.back()->clock = [this] {
                 return shell_.enter();
@@ -34,9 +38,16 @@
         }
     }
 
+    /// Serves the items of this process to its peers.
+    void serve() {
+        for (std::size_t n = 0; n < sources_.size(); ++n)
+            shell_.server().add(peer_path(n), [this, n] { return answer(n); });
+    }
+
     /// Starts calls that are due and ends those past their limit.
     void tick(instant now) {
-        service_.tick(now);
+        for (auto const& it : clients_)
+            it->tick(now);
         run(now);
     }
 
@@ -51,6 +62,15 @@
             it->restart(now);
     }
 
+    /// Begin of the earliest of the latest complete reads; default if one is
+    /// missing.
+    [[nodiscard]] instant read_started() const {
+        auto out = instant::max();
+        for (auto const& it : sources_)
+            out = std::min(out, it->follower().read_started());
+        return out;
+    }
+
     [[nodiscard]] bool is_complete() const {
         return std::all_of(sources_.begin(), sources_.end(),
             [](auto const& it) { return it->is_complete(); });
@@ -68,8 +88,37 @@
 private:
     using source = item_source<Platform>;
 
+    static std::string peer_path(std::size_t n) {
+        return "/v1/items/" + std::to_string(n);
+    }
+
+    void add_client(endpoint at) {
+        clients_.push_back(std::make_unique<configuration_client>(
+            configuration_client_options{.service = at}));
+    }
+
+    [[nodiscard]] std::vector<configuration_client*> client_pointers() const {
+        std::vector<configuration_client*> out;
+        for (auto const& it : clients_)
+            out.push_back(it.get());
+        return out;
+    }
+
+    [[nodiscard]] http_answer answer(std::size_t n) const {
+        constexpr unsigned unavailable = 503;
+        auto const& follower = sources_[n]->follower();
+        if (!follower.is_complete() || follower.as_of() == 0)
+            return {.status = unavailable};
+        item_page const page{.changes = view_.items(shell_.now(), prefixes_[n]),
+            .as_of = follower.as_of()};
+        return {.type = "application/json", .body = wire::encode_items(page)};
+    }
+
     packet_shell& shell_;
-    configuration_client service_;
+    fleet_view& view_;
+    std::vector<std::string> prefixes_;
+    /// The configuration service, then the peers.
+    std::vector<std::unique_ptr<configuration_client>> clients_;
     std::vector<std::unique_ptr<source>> sources_;
 };
 
