Openings wait for the first read; unused openings free their slots

Change: such openings are kept and placed when the read ends; a slot is freed after 250 ms without data of the caller; calls to peers use their path.

Tests (failed first): opening_before_the_first_read_is_placed_after_it, waiting_opening_without_route_is_reset_after_the_read, opening_that_the_caller_did_not_use_frees_its_slot.

--- a/packages/core/include/radishspread/core/internal/rs_held_flow.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_held_flow.hpp
@@ -22,6 +22,7 @@
 struct held_flow {
     held_state state = held_state::opening;
     bool is_outstanding = false; ///< The caller's data awaits a response.
+    bool has_data = false;       ///< The caller has sent data.
     bool caller_finished = false;
     bool backend_finished = false;
     std::uint32_t handshake = 0; ///< Sequence number of the opening reply.
--- a/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
@@ -66,6 +66,7 @@
     auto const known = flows_.find(message.flow);
     bool const is_copy = known != flows_.end() &&
                          known->second.state <= internal::held_state::open;
+    expire_unused(now);
     if (!is_copy) {
         bool const is_full =
             known == flows_.end() && flows_.size() >= options_.max_flows;
@@ -79,6 +80,8 @@
     if (!is_copy) {
         it.opened_at = now;
         it.told = {};
+        it.has_data = false;
+        unused_.emplace_back(now, message.flow);
         set_state(it, internal::held_state::opening);
         set_outstanding(it, true);
         if (oldest_unanswered_ == instant{})
--- a/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
@@ -36,12 +36,8 @@
     is_proven_ = true;
     for (auto it = openings_.begin(); it != openings_.end();) {
         auto& entry = it->second;
-        bool is_over = false;
-        if (entry.awaits_view) {
-            entry.awaits_view = false;
-            entry.tried.clear();
-            is_over = !place(now, it->first, entry, sink);
-        }
+        bool const is_over =
+            entry.awaits_view && !begin(now, it->first, entry, sink);
         it = is_over ? openings_.erase(it) : std::next(it);
     }
     for (auto& [flow, it] : searches_)
@@ -66,42 +62,50 @@
 void packet_balancer::on_open(
     instant now, flow_packet const& packet, Sink& sink) {
     auto const flow = packet.from_caller();
-    if (!is_ready()) {
-        sink.log({.number = packet_event::opening_dropped,
-            .flow = flow,
-            .why = refusal::unproven_view,
-            .version = view_.route_version()});
-        return;
-    }
-    auto const service = view_.service_of(flow.service);
-    if (service == 0) {
-        sink.log({.number = packet_event::opening_refused,
-            .flow = flow,
-            .why = refusal::unknown_route,
-            .version = view_.route_version()});
-        return sink.reset_caller(flow, 0);
-    }
     if (auto const it = flows_.find(flow); it != flows_.end()) {
         // A copy; the agent knows whether its backend server has replied.
         it->second.last_packet = now;
+        auto const service = view_.service_of(flow.service);
         return sink.send(it->second.agent,
             make_open(now, flow, service, it->second.agent, packet.bytes));
     }
     auto const [entry, is_new] = openings_.try_emplace(flow);
-    auto& it = entry->second;
     if (!is_new) // Asking agents goes on by itself.
         return;
     if (openings_.size() > options_.max_openings) {
         openings_.erase(entry);
+        sink.log({.number = packet_event::opening_refused,
+            .flow = flow,
+            .why = refusal::overloaded,
+            .version = view_.route_version()});
         return sink.reset_caller(flow, 0);
     }
-    it.service = service;
+    auto& it = entry->second;
     it.started = now;
     it.packet.assign(packet.bytes.begin(), packet.bytes.end());
-    if (!place(now, flow, it, sink))
+    it.awaits_view = !is_ready();
+    if (it.awaits_view)
+        it.answer_due = instant::max();
+    else if (!begin(now, flow, it, sink))
         openings_.erase(flow);
 }
 
+template <packet_sink Sink>
+bool packet_balancer::begin(
+    instant now, packet_flow const& flow, opening& it, Sink& sink) {
+    it.awaits_view = false;
+    it.tried.clear();
+    it.service = view_.service_of(flow.service);
+    if (it.service != 0)
+        return place(now, flow, it, sink);
+    sink.log({.number = packet_event::opening_refused,
+        .flow = flow,
+        .why = refusal::unknown_route,
+        .version = view_.route_version()});
+    sink.reset_caller(flow, 0);
+    return false;
+}
+
 template <packet_sink Sink>
 bool packet_balancer::place(
     instant now, packet_flow const& flow, opening& it, Sink& sink) {
--- a/packages/core/include/radishspread/core/rs_packet_agent.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_agent.hpp
@@ -10,8 +10,10 @@
 #include <radishspread/core/rs_packet_sinks.hpp>
 
 #include <cstddef>
+#include <deque>
 #include <map>
 #include <unordered_map>
+#include <utility>
 
 namespace radishspread {
 
@@ -84,6 +86,8 @@
         instant now, internal::held_flow& it, flow_packet const& packet);
     void note_backend_packet(
         instant now, internal::held_flow& it, flow_packet const& packet);
+    /// Frees the slots of openings that their callers have not used.
+    void expire_unused(instant now);
     void note_announcement(fleet_view::member const* self);
     /// Forgets flows that ended or are idle.
     void sweep(instant now);
@@ -94,6 +98,8 @@
     fleet_view view_;
     flow_table flows_;
     std::map<endpoint, instant> balancers_; ///< Last message of each.
+    /// Openings in order of time, until the caller's first data.
+    std::deque<std::pair<instant, packet_flow>> unused_;
     std::size_t open_ = 0;
     std::size_t in_progress_ = 0;
     std::uint64_t newest_routes_ = 0; ///< Newest version any balancer showed.
--- a/packages/core/include/radishspread/core/rs_packet_agent_options.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_agent_options.hpp
@@ -22,6 +22,9 @@
     duration ended_limit = std::chrono::seconds(5);
     /// A request without a packet for this long counts as in progress no more.
     duration request_limit = std::chrono::seconds(5);
+    /// An opening holds a slot for this long, unless the caller sends data: it
+    /// may have taken the offer of another backend server.
+    duration unused_limit = std::chrono::milliseconds(250);
     /// An opening without a reply for this long counts against the backend
     /// server.
     duration opening_limit = std::chrono::milliseconds(100);
--- a/packages/core/include/radishspread/core/rs_packet_balancer.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_balancer.hpp
@@ -83,6 +83,10 @@
     template <packet_sink Sink>
     void on_denied(
         instant now, endpoint from, packet_flow const& flow, Sink& sink);
+    /// Finds the service of the opening and asks a first agent. Returns false
+    /// if the opening ended.
+    template <packet_sink Sink>
+    bool begin(instant now, packet_flow const& flow, opening& it, Sink& sink);
     /// Asks the next agent to take the opening. Returns false if it ended.
     template <packet_sink Sink>
     bool place(instant now, packet_flow const& flow, opening& it, Sink& sink);
--- a/packages/core/src/rs_packet_agent.cpp
+++ b/packages/core/src/rs_packet_agent.cpp
@@ -98,6 +98,16 @@
     return it->second;
 }
 
+void packet_agent::expire_unused(instant now) {
+    while (!unused_.empty() &&
+           now - unused_.front().first >= options_.unused_limit) {
+        auto const it = flows_.find(unused_.front().second);
+        if (it != flows_.end() && !it->second.has_data)
+            set_outstanding(it->second, false);
+        unused_.pop_front();
+    }
+}
+
 // Nothing is opened at a backend server before it is announced. An agent that
 // was there first has seen every flow, and need not try unknown ones at the
 // backend server. A missing announcement alone proves nothing: it may have
@@ -136,8 +146,10 @@
     it.last_packet = now;
     if (it.state == held_state::offered)
         set_state(it, held_state::open);
-    if (packet.payload_size > 0)
+    if (packet.payload_size > 0) {
+        it.has_data = true;
         set_outstanding(it, true);
+    }
     it.caller_finished = it.caller_finished || packet.is_finish;
     if (packet.is_reset || (it.caller_finished && it.backend_finished)) {
         set_outstanding(it, false);
--- /dev/null
+++ b/packages/core/tests/rs_packet_agent_test.cpp
@@ -0,0 +1,225 @@
+#include "rs_packet_sink.hpp"
+
+#include <radishspread/core/rs_packet_agent.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace radishspread;
+using namespace radishspread::test;
+
+namespace {
+
+instant at(int ms) {
+    return instant(std::chrono::hours(1)) + std::chrono::milliseconds(ms);
+}
+
+constexpr endpoint balancer_one{.address = 0x0a000101, .port = 7720};
+constexpr endpoint balancer_two{.address = 0x0a000102, .port = 7720};
+
+} // namespace
+
+TEST_GROUP(packet_agent) {
+    packet_recorder sink;
+    packet_agent core{packet_agent_options{.service = test_service,
+        .domain = test_domain,
+        .backend = backend_address(1)}};
+
+    void setup() override {
+        core.start(at(0), sink);
+        core.view().apply(at(0), announcement_of(1, 1));
+        core.view_changed(at(0), sink);
+    }
+
+    agent_packet message(agent_packet_kind kind, packet_flow const& flow,
+        std::uint64_t version = 5) {
+        return {.kind = kind,
+            .service = test_service,
+            .route_version = version,
+            .flow = flow,
+            .packet = packet_bytes};
+    }
+
+    void open(packet_flow const& flow, int ms, std::uint64_t version = 5) {
+        core.handle(at(ms), balancer_one,
+            message(agent_packet_kind::open, flow, version),
+            opening_packet(flow), sink);
+    }
+
+    /// Opens the flow and lets the backend server take it.
+    void hold(packet_flow const& flow, int ms, std::uint32_t handshake = 100) {
+        open(flow, ms);
+        core.handle_backend(at(ms), opening_reply_of(flow, handshake), sink);
+    }
+
+    void carry(packet_flow const& flow, std::uint32_t acknowledged, int ms,
+        agent_packet_kind kind = agent_packet_kind::carry) {
+        core.handle(at(ms), balancer_two, message(kind, flow),
+            caller_packet_of(flow, acknowledged), sink);
+    }
+
+    refusal last_refusal() {
+        return sink.sent.back().message.why;
+    }
+};
+
+TEST(packet_agent, opening_reaches_the_backend_server_and_is_reported) {
+    hold(flow_of(1), 0);
+    CHECK_EQUAL(1, sink.to_backend);
+    CHECK_EQUAL(1, sink.count(agent_packet_kind::held));
+    CHECK_EQUAL(100, sink.sent.back().message.handshake);
+    CHECK_EQUAL(1, sink.to_caller.size());
+}
+
+TEST(packet_agent, opening_without_free_slot_is_declined) {
+    open(flow_of(1), 0);
+    open(flow_of(2), 0);
+    open(flow_of(3), 0);
+    CHECK(last_refusal() == refusal::overloaded);
+    CHECK_EQUAL(2, sink.to_backend);
+}
+
+// A flow that a caller opened and left, or took elsewhere, held a slot for five
+// seconds, and agents with idle backend servers declined.
+TEST(packet_agent, opening_that_the_caller_did_not_use_frees_its_slot) {
+    hold(flow_of(1), 0);
+    hold(flow_of(2), 0);
+    open(flow_of(3), 300);
+    CHECK_EQUAL(3, sink.to_backend);
+}
+
+// Routes never go back: what one balancer has shown, no other may undo.
+TEST(packet_agent, opening_by_older_routes_than_seen_is_declined) {
+    open(flow_of(1), 0, 6);
+    open(flow_of(2), 1, 5);
+    CHECK(last_refusal() == refusal::stale_view);
+    CHECK_EQUAL(6, sink.sent.back().message.route_version);
+}
+
+// An address may be used again by a backend server of another service.
+TEST(packet_agent, opening_for_another_service_is_declined) {
+    auto other = message(agent_packet_kind::open, flow_of(1));
+    other.service = test_service + 1;
+    core.handle(at(0), balancer_one, other, opening_packet(flow_of(1)), sink);
+    CHECK(last_refusal() == refusal::other_service);
+    CHECK_EQUAL(0, sink.to_backend);
+}
+
+TEST(packet_agent, opening_at_draining_backend_server_is_declined) {
+    auto change = announcement_of(1, 2);
+    std::get<backend_announcement>(change.content).is_draining = true;
+    core.view().apply(at(0), change);
+    open(flow_of(1), 0);
+    CHECK(last_refusal() == refusal::draining);
+}
+
+TEST(packet_agent, opening_in_failure_domain_taken_out_is_declined) {
+    core.view().apply(at(0), {.name = "out/1",
+                                 .revision = 5,
+                                 .content = domain_taken_out{test_domain}});
+    open(flow_of(1), 0);
+    CHECK(last_refusal() == refusal::domain_out);
+}
+
+// The limit counts the openings of all balancers, in every window of a second.
+TEST(packet_agent, cold_backend_server_takes_no_more_than_its_rate) {
+    auto cold = message(agent_packet_kind::open, flow_of(1));
+    cold.is_cold = true;
+    cold.cold_rate = 3 * cold_rate_units;
+    for (std::uint16_t n = 1; n <= 20; ++n) {
+        cold.flow = flow_of(n);
+        core.handle(at(n * 45), n % 2 == 0 ? balancer_one : balancer_two, cold,
+            opening_packet(cold.flow), sink);
+        core.handle_backend(at(n * 45), backend_packet_of(cold.flow), sink);
+    }
+    CHECK_EQUAL(3, sink.to_backend);
+}
+
+TEST(packet_agent, returned_opening_is_declined_with_its_packet) {
+    open(flow_of(1), 0);
+    core.handle_backend(at(1), returned(opening_packet(flow_of(1))), sink);
+    CHECK(last_refusal() == refusal::backend_refused);
+    CHECK_EQUAL(packet_bytes.size(), sink.sent.back().packet.size());
+}
+
+// After a restart only the backend server knows which flows it holds.
+TEST(packet_agent, unknown_flow_is_tried_at_the_backend_server) {
+    carry(flow_of(1), 101, 0);
+    CHECK_EQUAL(1, sink.to_backend);
+    core.handle_backend(at(1), backend_packet_of(flow_of(1)), sink);
+    CHECK_EQUAL(1, sink.count(agent_packet_kind::held));
+}
+
+// Packets that reach other backend servers again and again break the flow.
+TEST(packet_agent, flow_that_was_returned_is_not_tried_again) {
+    carry(flow_of(1), 101, 0);
+    core.handle_backend(
+        at(1), returned(caller_packet_of(flow_of(1), 101)), sink);
+    CHECK_EQUAL(1, sink.count(agent_packet_kind::not_held));
+    carry(flow_of(1), 101, 200, agent_packet_kind::locate);
+    CHECK_EQUAL(1, sink.to_backend);
+    CHECK_EQUAL(2, sink.count(agent_packet_kind::not_held));
+}
+
+TEST(packet_agent, agent_older_than_its_backend_server_tries_no_unknown_flow) {
+    packet_agent first{packet_agent_options{.service = test_service,
+        .domain = test_domain,
+        .backend = backend_address(1),
+        .started_unix_ms = 1000}};
+    first.start(at(0), sink);
+    first.view_changed(at(0), sink);
+    auto change = announcement_of(1, 2);
+    std::get<backend_announcement>(change.content).born = 1500;
+    first.view().apply(at(1), change);
+    first.view_changed(at(1), sink);
+    first.handle(at(2), balancer_one,
+        message(agent_packet_kind::carry, flow_of(1)),
+        caller_packet_of(flow_of(1), 7), sink);
+    CHECK_EQUAL(0, sink.to_backend);
+    CHECK_EQUAL(1, sink.count(agent_packet_kind::not_held));
+}
+
+// The announcement of a living backend server may have lapsed: an agent that
+// restarts meanwhile does not know its flows.
+TEST(packet_agent, agent_younger_than_its_backend_server_tries_unknown_flow) {
+    packet_agent second{packet_agent_options{.service = test_service,
+        .domain = test_domain,
+        .backend = backend_address(1),
+        .started_unix_ms = 9000}};
+    second.start(at(0), sink);
+    second.view_changed(at(0), sink);
+    auto change = announcement_of(1, 2);
+    std::get<backend_announcement>(change.content).born = 1500;
+    second.view().apply(at(1), change);
+    second.view_changed(at(1), sink);
+    second.handle(at(2), balancer_one,
+        message(agent_packet_kind::carry, flow_of(1)),
+        caller_packet_of(flow_of(1), 7), sink);
+    CHECK_EQUAL(1, sink.to_backend);
+}
+
+// A backend server that lost its flows cannot serve them; the caller need not
+// wait for its timeout.
+TEST(packet_agent, open_flow_that_the_backend_server_lost_is_reset) {
+    hold(flow_of(1), 0);
+    carry(flow_of(1), 101, 1);
+    core.handle_backend(
+        at(2), returned(caller_packet_of(flow_of(1), 101)), sink);
+    CHECK_EQUAL(1, sink.resets.size());
+}
+
+// The caller took the offer of another backend server.
+TEST(packet_agent, packet_that_acknowledges_another_offer_is_not_passed_on) {
+    hold(flow_of(1), 0, 100);
+    carry(flow_of(1), 777, 1);
+    CHECK_EQUAL(1, sink.to_backend);
+    CHECK_EQUAL(1, sink.count(agent_packet_kind::not_held));
+}
+
+TEST(packet_agent, silent_backend_server_gets_one_opening_at_a_time) {
+    open(flow_of(1), 0);
+    core.tick(at(150), sink);
+    open(flow_of(2), 151);
+    open(flow_of(3), 152);
+    CHECK(last_refusal() == refusal::unresponsive);
+    CHECK_EQUAL(2, sink.to_backend);
+}
--- a/packages/core/tests/rs_packet_balancer_test.cpp
+++ b/packages/core/tests/rs_packet_balancer_test.cpp
@@ -202,3 +202,30 @@
     }
     CHECK(sink.resets.empty());
 }
+
+// A balancer that has just started dropped openings until its first read, and
+// the callers' next copies came 200 ms later.
+TEST(packet_balancer, opening_before_the_first_read_is_placed_after_it) {
+    packet_balancer fresh{packet_balancer_options{
+        .domain = test_domain, .agent_port = agent_port}};
+    fresh.start(at(0), sink);
+    fresh.handle_caller(at(1), opening_packet(flow_of(1)), sink);
+    CHECK(sink.sent.empty());
+    fresh.view().apply(at(30), routes_of(5, 1));
+    fresh.view().apply(at(30), announcement_of(1, 2));
+    fresh.view_confirmed(at(30), at(2), sink);
+    CHECK_EQUAL(1, sink.count(agent_packet_kind::open));
+}
+
+TEST(packet_balancer, waiting_opening_without_route_is_reset_after_the_read) {
+    packet_balancer fresh{packet_balancer_options{
+        .domain = test_domain, .agent_port = agent_port}};
+    fresh.start(at(0), sink);
+    auto flow = flow_of(1);
+    flow.service.port = 444;
+    fresh.handle_caller(at(1), opening_packet(flow), sink);
+    CHECK(sink.resets.empty());
+    fresh.view().apply(at(30), routes_of(5, 1));
+    fresh.view_confirmed(at(30), at(2), sink);
+    CHECK_EQUAL(1, sink.resets.size());
+}
--- a/packages/runtime/include/radishspread/runtime/rs_item_source.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_item_source.hpp
@@ -35,8 +35,10 @@
         if (!call)
             return;
         auto const id = ++call_id_;
-        clients_[call->source]->get(Platform::path_of(*call), now + call->limit,
-            [this, id](section_response const& it) {
+        asks_peer_ = call->source != 0;
+        clients_[call->source]->get(
+            asks_peer_ ? peer_path_ : Platform::path_of(*call),
+            now + call->limit, [this, id](section_response const& it) {
                 if (id == call_id_)
                     finish(it);
             });
