Agents hold all items, judge stale balancers' openings and bring them up to date

Ruled out: accepting openings by older routes as they are, since routes would go back at the agent.

Change: agents follow the routes too. An opening by older routes is judged by the agent's own; the balancer asks the agent that is ahead for its items before it asks anybody else. The two follower tables of peers became one list.

Tests (failed first): opening_by_older_routes_is_judged_by_the_newest_held, follower_behind_asks_the_peer_that_is_ahead_first.

--- a/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
@@ -30,7 +30,11 @@
     agent_packet const& message, flow_packet const& packet, Sink& sink) {
     last_event_ = now;
     balancers_[from] = now;
-    newest_routes_ = std::max(newest_routes_, message.route_version);
+    if (message.route_version > newest_routes_) {
+        newest_routes_ = message.route_version;
+        if (view_.route_version() < newest_routes_)
+            sink.catch_up(from);
+    }
     if (message.kind == agent_packet_kind::open)
         on_open(now, from, message, packet, sink);
     else if (message.service != options_.service)
@@ -233,6 +237,7 @@
 
 template <packet_sink Sink>
 void packet_agent::view_changed(instant now, Sink& sink) {
+    newest_routes_ = std::max(newest_routes_, view_.route_version());
     auto const* self = view_.find(options_.backend);
     note_announcement(self);
     int state = 0;
--- a/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
@@ -263,7 +263,7 @@
         sink.log({.number = packet_event::view_behind,
             .peer = from,
             .version = message.route_version});
-        sink.refresh_view();
+        sink.catch_up(from);
     }
     if (message.kind == agent_packet_kind::held) {
         on_held(now, from, message, sink);
--- a/packages/core/include/radishspread/core/rs_item_follower.hpp
+++ b/packages/core/include/radishspread/core/rs_item_follower.hpp
@@ -2,6 +2,7 @@
 #define RADISHSPREAD_CORE_RS_ITEM_FOLLOWER_HPP
 
 #include <radishspread/core/internal/rs_jitter.hpp>
+#include <radishspread/core/rs_endpoint.hpp>
 #include <radishspread/core/rs_fleet_view.hpp>
 #include <radishspread/core/rs_item_page.hpp>
 #include <radishspread/core/rs_time.hpp>
@@ -10,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace radishspread {
 
@@ -21,7 +23,7 @@
     revision after = 0;     ///< A watch: changes after this revision.
     duration wait{0};       ///< A watch: longest time to wait for a change.
     duration limit{0};      ///< Time after which the call has failed.
-    std::size_t source = 0; ///< 0: the configuration service; else a peer.
+    endpoint peer;          ///< Process to ask; unset: the service.
 };
 
 /// Settings of a follower.
@@ -37,7 +39,7 @@
     duration collect = std::chrono::milliseconds(100);
     duration backoff_minimum = std::chrono::milliseconds(100);
     duration backoff_maximum = std::chrono::milliseconds(800);
-    std::size_t peers = 0; ///< Sources besides the configuration service.
+    std::vector<endpoint> peers; ///< Processes that hold the same items.
     std::uint64_t seed = 1;
 };
 
@@ -64,6 +66,10 @@
     /// per `restart_interval`. True if the driver should drop its call.
     bool restart(instant now);
 
+    /// The process at `peer` is ahead: asks it next, at most once per
+    /// `restart_interval`. True if the driver should drop its call.
+    bool catch_up(instant now, endpoint peer);
+
     [[nodiscard]] instant due() const { return due_; }
     [[nodiscard]] bool is_outstanding() const { return is_outstanding_; }
     [[nodiscard]] unsigned failures() const { return failures_; }
@@ -95,7 +101,9 @@
     instant answered_at_;
     instant restarted_at_;
     unsigned failures_ = 0;
-    std::size_t source_ = 0;
+    endpoint peer_;  ///< Of the outstanding call; unset: the service.
+    endpoint ahead_; ///< To be asked next.
+    instant caught_up_at_;
     std::string after_name_;
     revision read_from_ = 0; ///< Revision of the first page of the read.
     revision after_ = 0;
--- a/packages/core/src/rs_item_follower.cpp
+++ b/packages/core/src/rs_item_follower.cpp
@@ -14,12 +14,13 @@
     is_outstanding_ = true;
     // While the service does not answer, every other call goes to a peer: what
     // it has learned meanwhile counts as much.
-    bool const asks_peer = options_.peers > 0 && failures_ % 2 == 1;
-    source_ = asks_peer ? 1 + random_.below(options_.peers) : 0;
-    if (asks_peer)
+    peer_ = std::exchange(ahead_, {});
+    if (!peer_.is_set() && failures_ % 2 == 1 && !options_.peers.empty())
+        peer_ = options_.peers[random_.below(options_.peers.size())];
+    if (peer_.is_set())
         return item_call{.prefix = options_.prefix,
             .limit = options_.peer_limit,
-            .source = source_};
+            .peer = peer_};
     if (is_watching_)
         return item_call{.is_watch = true,
             .prefix = options_.prefix,
@@ -36,7 +37,7 @@
 bool item_follower::handle_page(
     instant now, item_page const& page, fleet_view& view) {
     is_outstanding_ = false;
-    if (source_ != 0)
+    if (peer_.is_set())
         return handle_peer(now, page, view);
     answered_at_ = now;
     failures_ = 0;
@@ -62,6 +63,10 @@
     view.finish_read(now, options_.prefix, names, page.as_of);
     is_complete_ = is_complete_ || page.as_of > 0;
     after_ = std::max(after_, page.as_of);
+    // Unless it failed lately, the service is asked next, without delay.
+    due_ = now;
+    if (failures_ == 0)
+        return is_complete_;
     ++failures_;
     due_ = now + random_.backoff(failures_, options_.backoff_minimum,
                      options_.backoff_maximum);
@@ -108,16 +113,31 @@
 void item_follower::handle_failure(
     instant now, bool is_outage, fleet_view& view) {
     is_outstanding_ = false;
-    if (is_outage && source_ == 0)
+    if (is_outage && !peer_.is_set())
         view.set_reachable(now, false);
+    due_ = now;
+    if (peer_.is_set() && failures_ == 0)
+        return; // The service has not failed; it is asked next.
     ++failures_;
-    if (!is_watching_ && source_ == 0)
+    if (!is_watching_ && !peer_.is_set())
         begin_read(now);
     due_ = now + options_.backoff_minimum / 4 +
            random_.backoff(
                failures_, options_.backoff_minimum, options_.backoff_maximum);
 }
 
+bool item_follower::catch_up(instant now, endpoint peer) {
+    if (caught_up_at_ != instant{} && now - caught_up_at_ < restart_interval)
+        return false;
+    caught_up_at_ = now;
+    ahead_ = peer;
+    is_outstanding_ = false;
+    if (!is_watching_)
+        begin_read(now);
+    due_ = now;
+    return true;
+}
+
 bool item_follower::restart(instant now) {
     if (restarted_at_ != instant{} && now - restarted_at_ < restart_interval)
         return false;
--- a/packages/core/src/rs_packet_agent.cpp
+++ b/packages/core/src/rs_packet_agent.cpp
@@ -45,8 +45,15 @@
 refusal packet_agent::judge(instant now, agent_packet const& message) {
     if (message.service != options_.service)
         return refusal::other_service;
-    if (message.route_version < newest_routes_)
-        return refusal::stale_view;
+    if (message.route_version < newest_routes_) {
+        // Routes never go back to what an older version says.
+        if (view_.route_version() < newest_routes_)
+            return refusal::stale_view;
+        auto const service = view_.service_of(message.flow.service);
+        if (service != options_.service)
+            return service == 0 ? refusal::unknown_route
+                                : refusal::other_service;
+    }
     if (view_.is_out(options_.domain))
         return refusal::domain_out;
     auto const* self = view_.find(options_.backend);
--- /dev/null
+++ b/packages/core/tests/rs_item_follower_test.cpp
@@ -0,0 +1,128 @@
+#include "rs_packet_sink.hpp"
+
+#include <radishspread/core/rs_item_follower.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace radishspread;
+using namespace radishspread::test;
+
+namespace {
+
+instant at(int ms) {
+    return instant(std::chrono::hours(1)) + std::chrono::milliseconds(ms);
+}
+
+constexpr endpoint peer_one{.address = 0x0a000101, .port = 7720};
+constexpr endpoint peer_two{.address = 0x0a000102, .port = 7720};
+
+} // namespace
+
+TEST_GROUP(item_follower) {
+    fleet_view view;
+    item_follower core{
+        item_follower_options{.prefix = "backend/", .peers = {peer_one}}};
+
+    item_page page(std::vector<fleet_change> changes, revision as_of) {
+        return {.changes = std::move(changes), .as_of = as_of};
+    }
+
+    /// Reads everything once, so that the next call is a watch.
+    void complete(int ms) {
+        CHECK(core.take_call(at(ms)).has_value());
+        core.handle_page(at(ms), page({announcement_of(1, 5)}, 10), view);
+    }
+
+    std::size_t members() {
+        return view.members_of(test_service).size();
+    }
+};
+
+TEST(item_follower, complete_read_is_followed_by_a_watch_from_its_revision) {
+    complete(0);
+    auto const call = core.take_call(at(1));
+    CHECK(call->is_watch);
+    CHECK_EQUAL(10, call->after);
+}
+
+// Pages are no snapshot: what changed between them must not be missed.
+TEST(item_follower, watch_begins_at_the_revision_of_the_first_page) {
+    CHECK(core.take_call(at(0)).has_value());
+    auto first = page({announcement_of(1, 5)}, 10);
+    first.has_more = true;
+    core.handle_page(at(1), first, view);
+    CHECK_EQUAL(std::string("backend/1"), core.take_call(at(1))->after_name);
+    core.handle_page(at(2), page({announcement_of(2, 6)}, 14), view);
+    CHECK_EQUAL(10, core.take_call(at(2))->after);
+    CHECK_EQUAL(2, members());
+}
+
+TEST(item_follower, lost_history_leads_to_a_complete_read) {
+    complete(0);
+    CHECK(core.take_call(at(1)).has_value());
+    core.handle_history_lost(at(2));
+    auto const call = core.take_call(at(2));
+    CHECK(!call->is_watch);
+    core.handle_page(at(3), page({}, 30), view);
+    CHECK(view.members_of(test_service)[0]->is_gone);
+}
+
+// A page that is older than what a watch has shown must not undo it.
+TEST(item_follower, older_revision_does_not_replace_a_newer_one) {
+    complete(0);
+    CHECK(core.take_call(at(1)).has_value());
+    auto draining = announcement_of(1, 20);
+    std::get<backend_announcement>(draining.content).is_draining = true;
+    core.handle_page(at(2), page({draining}, 20), view);
+    CHECK(core.take_call(at(200)).has_value());
+    core.handle_page(at(201), page({announcement_of(1, 5)}, 20), view);
+    CHECK(view.members_of(test_service)[0]->is_draining);
+}
+
+TEST(item_follower, failed_call_is_repeated_at_a_peer) {
+    CHECK(core.take_call(at(0)).has_value());
+    core.handle_failure(at(1), true, view);
+    CHECK(!core.take_call(at(1)).has_value());
+    auto const call = core.take_call(at(2000));
+    CHECK(call->peer == peer_one);
+    core.handle_page(at(2001), page({announcement_of(1, 5)}, 7), view);
+    CHECK(core.is_complete());
+    CHECK_EQUAL(1, members());
+    CHECK(!core.take_call(at(4000))->peer.is_set());
+}
+
+// A balancer that is cut off from the service waited for its timeout before it
+// asked anybody else.
+TEST(item_follower, follower_behind_asks_the_peer_that_is_ahead_first) {
+    complete(0);
+    CHECK(core.take_call(at(1)).has_value());
+    CHECK(core.catch_up(at(500), peer_two));
+    auto const call = core.take_call(at(500));
+    CHECK(call->peer == peer_two);
+    core.handle_page(at(503), page({announcement_of(2, 12)}, 12), view);
+    CHECK(core.take_call(at(503))->is_watch);
+}
+
+TEST(item_follower, peer_that_is_behind_removes_nothing) {
+    complete(0);
+    CHECK(core.take_call(at(1)).has_value());
+    CHECK(core.catch_up(at(500), peer_two));
+    CHECK(core.take_call(at(500)).has_value());
+    core.handle_page(at(503), page({}, 3), view);
+    CHECK(!view.members_of(test_service)[0]->is_gone);
+}
+
+// Announcements may lapse while the service is away, though the backend
+// servers live.
+TEST(item_follower, backend_server_missing_after_an_outage_is_kept_a_while) {
+    complete(0);
+    CHECK(core.take_call(at(1)).has_value());
+    core.handle_failure(at(2), true, view);
+    CHECK(core.restart(at(3000)));
+    for (int ms = 3000; core.take_call(at(ms))->peer.is_set(); ms += 1000)
+        core.handle_failure(at(ms), true, view);
+    core.handle_page(at(5000), page({}, 40), view);
+    auto const* member = view.members_of(test_service)[0];
+    CHECK(view.is_eligible(at(6000), *member));
+    CHECK(!view.is_eligible(at(8000), *member));
+}
--- a/packages/core/tests/rs_packet_agent_test.cpp
+++ b/packages/core/tests/rs_packet_agent_test.cpp
@@ -95,6 +95,19 @@
     CHECK_EQUAL(6, sink.sent.back().message.route_version);
 }
 
+// A balancer that is cut off from the configuration service, but not from the
+// agents, lost every opening of its callers.
+TEST(packet_agent, opening_by_older_routes_is_judged_by_the_newest_held) {
+    core.view().apply(at(0), routes_of(6, 9));
+    open(flow_of(1), 0, 6);
+    open(flow_of(2), 1, 5);
+    CHECK_EQUAL(2, sink.to_backend);
+    auto dropped = flow_of(3);
+    dropped.service.port = 444;
+    open(dropped, 2, 5);
+    CHECK(last_refusal() == refusal::unknown_route);
+}
+
 // An address may be used again by a backend server of another service.
 TEST(packet_agent, opening_for_another_service_is_declined) {
     auto other = message(agent_packet_kind::open, flow_of(1));
--- a/packages/core/tests/rs_packet_balancer_test.cpp
+++ b/packages/core/tests/rs_packet_balancer_test.cpp
@@ -150,7 +150,8 @@
     open(flow_of(1), 0);
     decline(sink.sent.back().to, flow_of(1), refusal::stale_view, 1, 6);
     CHECK(sink.resets.empty());
-    CHECK(sink.refreshes > 0);
+    CHECK(sink.ahead == agent_address(1) || sink.ahead == agent_address(2) ||
+          sink.ahead == agent_address(3));
     sink.clear();
     core.view().apply(at(20), routes_of(6, 9));
     core.view_confirmed(at(20), at(2), sink);
--- a/packages/core/tests/rs_packet_sink.hpp
+++ b/packages/core/tests/rs_packet_sink.hpp
@@ -28,6 +28,7 @@
     std::size_t to_backend = 0;
     std::vector<std::pair<packet_flow, std::uint32_t>> resets;
     std::size_t refreshes = 0;
+    endpoint ahead; ///< Last peer to catch up with.
     std::vector<std::uint16_t> events;
 
     void send(endpoint to, agent_packet const& message) {
@@ -43,6 +44,7 @@
         resets.emplace_back(flow, sequence);
     }
     void refresh_view() { ++refreshes; }
+    void catch_up(endpoint peer) { ahead = peer; }
     void log(packet_log const& event) { events.push_back(event.number); }
 
     [[nodiscard]] std::size_t count(agent_packet_kind kind) const {
--- a/packages/runtime/include/radishspread/runtime/rs_configuration_client.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_configuration_client.hpp
@@ -37,8 +37,9 @@
 
     void read(instant now, std::string_view name, response_call call);
 
-    /// Gets `path`, which fails at `limit`.
-    void get(std::string const& path, instant limit, response_call call);
+    /// Gets `path` at `from`, the service or a peer; fails at `limit`.
+    void get(endpoint from, std::string const& path, instant limit,
+        response_call call);
 
     /// Starts a watch, which replaces an outstanding one; the call of the
     /// latter is not made.
@@ -51,7 +52,7 @@
     void reset();
 
 private:
-    std::shared_ptr<configuration_call> start(
+    std::shared_ptr<configuration_call> start(endpoint from,
         std::string const& path, instant limit, response_call call);
 
     configuration_client_options options_;
--- a/packages/runtime/include/radishspread/runtime/rs_item_source.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_item_source.hpp
@@ -10,8 +10,8 @@
 
 #include <cstdint>
 #include <functional>
-#include <memory>
-#include <vector>
+#include <optional>
+#include <string>
 
 namespace radishspread::runtime {
 
@@ -21,12 +21,12 @@
 /// Makes the calls of one follower and merges the answers into a view.
 template <packet_platform Platform> class item_source {
 public:
-    /// `clients` are the sources of calls by index; peers answer `peer_path`.
+    /// Calls go to `service` or, with `peer_path`, to a peer.
     item_source(item_follower_options options, std::string peer_path,
-        fleet_view& view, std::vector<configuration_client*> clients,
+        fleet_view& view, configuration_client& client, endpoint service,
         change_call changed, std::function<void(packet_log const&)> log)
         : follower_(std::move(options)), peer_path_(std::move(peer_path)),
-          view_(view), clients_(std::move(clients)),
+          view_(view), client_(client), service_(service),
           changed_(std::move(changed)), log_(std::move(log)) {}
 
     /// Starts the next call if it is due.
@@ -35,8 +35,8 @@
         if (!call)
             return;
         auto const id = ++call_id_;
-        asks_peer_ = call->source != 0;
-        clients_[call->source]->get(
+        asks_peer_ = call->peer.is_set();
+        client_.get(asks_peer_ ? call->peer : service_,
             asks_peer_ ? peer_path_ : Platform::path_of(*call),
             now + call->limit, [this, id](section_response const& it) {
                 if (id == call_id_)
@@ -50,6 +50,12 @@
             ++call_id_;
     }
 
+    /// Asks the process at `peer`, which is ahead.
+    void catch_up(instant now, endpoint peer) {
+        if (follower_.catch_up(now, peer))
+            ++call_id_;
+    }
+
     [[nodiscard]] item_follower const& follower() const { return follower_; }
     [[nodiscard]] bool is_complete() const { return follower_.is_complete(); }
     [[nodiscard]] bool is_outstanding() const {
@@ -104,7 +110,8 @@
     std::string peer_path_;
     bool asks_peer_ = false; ///< The outstanding call goes to a peer.
     fleet_view& view_;
-    std::vector<configuration_client*> clients_;
+    configuration_client& client_;
+    endpoint service_;
     change_call changed_;
     std::function<void(packet_log const&)> log_;
     std::uint64_t call_id_ = 0;
--- a/packages/runtime/include/radishspread/runtime/rs_packet_agent_process.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_agent_process.hpp
@@ -18,9 +18,11 @@
 public:
     explicit packet_agent_process(packet_shell& shell)
         : shell_(shell), core_(make_options(shell.settings())),
-          sources_(shell, core_.view(), Platform::agent_prefixes(),
+          sources_(shell, core_.view(), Platform::prefixes(),
               {.wait = watch_wait, .collect = collect, .seed = random_number()},
-              [this](item_page const& page, bool) { view_changed(page); }) {}
+              [this](item_page const& page, bool) { view_changed(page); }) {
+        sources_.serve();
+    }
 
     [[nodiscard]] int run() {
         core_.start(shell_.enter(), *this);
@@ -53,6 +55,7 @@
         send_caller(flow, Platform::encode_reset(flow, sequence));
     }
     void refresh_view() { sources_.restart(shell_.now()); }
+    void catch_up(endpoint ahead) { sources_.catch_up(shell_.now(), ahead); }
     void log(packet_log const& event) { shell_.log(event); }
 
 private:
--- a/packages/runtime/include/radishspread/runtime/rs_packet_balancer_process.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_balancer_process.hpp
@@ -17,7 +17,7 @@
 public:
     explicit packet_balancer_process(packet_shell& shell)
         : shell_(shell), core_(make_options(shell.settings())),
-          sources_(shell, core_.view(), Platform::balancer_prefixes(),
+          sources_(shell, core_.view(), Platform::prefixes(),
               {.seed = random_number()},
               [this](item_page const& page, bool is_read) {
                   view_changed(page, is_read);
@@ -48,6 +48,7 @@
         send_caller(flow, Platform::encode_reset(flow, sequence));
     }
     void refresh_view() { sources_.restart(shell_.now()); }
+    void catch_up(endpoint ahead) { sources_.catch_up(shell_.now(), ahead); }
     void log(packet_log const& event) { shell_.log(event); }
 
 private:
--- a/packages/runtime/include/radishspread/runtime/rs_view_sources.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_view_sources.hpp
@@ -17,20 +17,18 @@
 public:
     view_sources(packet_shell& shell, fleet_view& view,
         std::vector<std::string> prefixes, item_follower_options options,
-        change_call changed)
-        : shell_(shell), view_(view), prefixes_(std::move(prefixes)) {
+        change_call const& changed)
+        : shell_(shell), view_(view), prefixes_(std::move(prefixes)),
+          client_({.service = shell.settings().configuration_service}) {
         auto const& settings = shell.settings();
-        add_client(settings.configuration_service);
-        if (settings.role == config::role::balancer)
-            for (auto const& it : settings.peers)
-                if (it.address != settings.packet_address.address)
-                    add_client({it.address, settings.peer_port});
-        options.peers = clients_.size() - 1;
+        for (auto const& it : settings.peers)
+            if (it.address != settings.packet_address.address)
+                options.peers.push_back(peer_at(it));
         for (std::size_t n = 0; n < prefixes_.size(); ++n) {
             options.prefix = prefixes_[n];
             ++options.seed;
             sources_.push_back(std::make_unique<source>(options, peer_path(n),
-                view, client_pointers(), changed,
+                view, client_, settings.configuration_service, changed,
                 [this](packet_log const& it) { shell_.log(it); }));
             sources_.back()->clock = [this] {
                 return shell_.enter();
@@ -46,8 +44,7 @@
 
     /// Starts calls that are due and ends those past their limit.
     void tick(instant now) {
-        for (auto const& it : clients_)
-            it->tick(now);
+        client_.tick(now);
         run(now);
     }
 
@@ -62,6 +59,12 @@
             it->restart(now);
     }
 
+    /// Asks the process on the host `ahead`, which has read more.
+    void catch_up(instant now, endpoint ahead) {
+        for (auto const& it : sources_)
+            it->catch_up(now, peer_at(ahead));
+    }
+
     /// Begin of the earliest of the latest complete reads; default if one is
     /// missing.
     [[nodiscard]] instant read_started() const {
@@ -92,16 +95,8 @@
         return "/v1/items/" + std::to_string(n);
     }
 
-    void add_client(endpoint at) {
-        clients_.push_back(std::make_unique<configuration_client>(
-            configuration_client_options{.service = at}));
-    }
-
-    [[nodiscard]] std::vector<configuration_client*> client_pointers() const {
-        std::vector<configuration_client*> out;
-        for (auto const& it : clients_)
-            out.push_back(it.get());
-        return out;
+    [[nodiscard]] endpoint peer_at(endpoint host) const {
+        return {.address = host.address, .port = shell_.settings().peer_port};
     }
 
     [[nodiscard]] http_answer answer(std::size_t n) const {
@@ -117,8 +112,7 @@
     packet_shell& shell_;
     fleet_view& view_;
     std::vector<std::string> prefixes_;
-    /// The configuration service, then the peers.
-    std::vector<std::unique_ptr<configuration_client>> clients_;
+    configuration_client client_;
     std::vector<std::unique_ptr<source>> sources_;
 };
 
--- a/packages/runtime/src/rs_configuration_client.cpp
+++ b/packages/runtime/src/rs_configuration_client.cpp
@@ -30,22 +30,22 @@
 }
 
 std::shared_ptr<configuration_call> configuration_client::start(
-    std::string const& path, instant limit, response_call call) {
+    endpoint from, std::string const& path, instant limit, response_call call) {
     auto it = std::make_shared<configuration_call>(limit, std::move(call));
-    it->start(session_, "http://" + to_string(options_.service) + path);
+    it->start(session_, "http://" + to_string(from) + path);
     return it;
 }
 
 void configuration_client::read(
     instant now, std::string_view name, response_call call) {
-    get("/v1/sections/" + escape(name), now + options_.read_limit,
-        std::move(call));
+    get(options_.service, "/v1/sections/" + escape(name),
+        now + options_.read_limit, std::move(call));
 }
 
 void configuration_client::get(
-    std::string const& path, instant limit, response_call call) {
+    endpoint from, std::string const& path, instant limit, response_call call) {
     std::erase_if(calls_, [](auto const& it) { return it->is_done(); });
-    calls_.push_back(start(path, limit, std::move(call)));
+    calls_.push_back(start(from, path, limit, std::move(call)));
 }
 
 void configuration_client::watch(
@@ -56,8 +56,8 @@
         options_.watch_wait);
     auto const path = "/v1/watch?after=" + std::to_string(after) +
                       "&wait_ms=" + std::to_string(wait.count());
-    watch_ = start(path, now + options_.watch_wait + options_.watch_grace,
-        std::move(call));
+    watch_ = start(options_.service, path,
+        now + options_.watch_wait + options_.watch_grace, std::move(call));
 }
 
 void configuration_client::tick(instant now) {
