A backlog waits for one round; denied flows are confirmed by one read

Change: a forced opening may use as many places in the queue as there are slots; denied flows read only the backend servers again, every 100 ms at most.

--- a/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
@@ -244,7 +244,7 @@
     auto& it = found->second;
     if (it.denied_at == instant{}) {
         it.denied_at = now;
-        return sink.refresh_view();
+        return sink.refresh_members();
     }
     sink.log({.number = packet_event::flow_reset,
         .flow = flow,
--- a/packages/core/include/radishspread/core/rs_item_follower.hpp
+++ b/packages/core/include/radishspread/core/rs_item_follower.hpp
@@ -83,7 +83,7 @@
     /// True if a complete read has ended since start or restart.
     [[nodiscard]] bool is_complete() const { return is_complete_; }
 
-    static constexpr duration restart_interval = std::chrono::milliseconds(300);
+    static constexpr duration restart_interval = std::chrono::milliseconds(100);
 
 private:
     bool handle_read(instant now, item_page const& page, fleet_view& view);
--- a/packages/core/include/radishspread/core/rs_packet_agent_options.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_agent_options.hpp
@@ -29,8 +29,9 @@
     /// server.
     duration opening_limit = std::chrono::milliseconds(100);
     /// Openings in progress beyond the slots that a forced opening may use, as
-    /// a multiple of the slots. Backend servers queue a few requests more.
-    std::size_t queue_factor = 3;
+    /// a multiple of the slots. A longer queue would answer all of a backlog
+    /// late instead of most of it in time.
+    std::size_t queue_factor = 1;
     /// A gap this long between two events means that the process was paused.
     duration pause_limit = std::chrono::seconds(1);
     /// For this long after its failure domain came back, a backend server with
--- a/packages/core/include/radishspread/core/rs_packet_balancer.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_balancer.hpp
@@ -42,8 +42,8 @@
     /// Detects a pause; true if what was received before now is too old.
     template <packet_sink Sink> bool check_pause(instant now, Sink& sink);
 
-    /// A complete read of the configuration that began at `read_started` has
-    /// ended.
+    /// A complete read of the configuration has ended; that of the backend
+    /// servers began at `read_started`.
     template <packet_sink Sink>
     void view_confirmed(instant now, instant read_started, Sink& sink);
 
--- a/packages/core/include/radishspread/core/rs_packet_sinks.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_sinks.hpp
@@ -23,6 +23,7 @@
     sink.send_backend(bytes);          // agent: to the backend server beside it
     sink.reset_caller(flow, sequence); // a reset of our own
     sink.refresh_view();               // read the configuration again
+    sink.refresh_members();            // read the backend servers again
     sink.catch_up(to);                 // ask this process for what it has read
     sink.log(event);
 };
--- a/packages/core/tests/rs_packet_sink.hpp
+++ b/packages/core/tests/rs_packet_sink.hpp
@@ -44,6 +44,7 @@
         resets.emplace_back(flow, sequence);
     }
     void refresh_view() { ++refreshes; }
+    void refresh_members() { ++refreshes; }
     void catch_up(endpoint peer) { ahead = peer; }
     void log(packet_log const& event) { events.push_back(event.number); }
 
--- a/packages/runtime/include/radishspread/runtime/rs_packet_balancer_process.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_balancer_process.hpp
@@ -48,6 +48,7 @@
         send_caller(flow, Platform::encode_reset(flow, sequence));
     }
     void refresh_view() { sources_.restart(shell_.now()); }
+    void refresh_members() { sources_.restart_members(shell_.now()); }
     void catch_up(endpoint ahead) { sources_.catch_up(shell_.now(), ahead); }
     void log(packet_log const& event) { shell_.log(event); }
 
@@ -126,7 +127,8 @@
         for (auto const& it : page.changes)
             shell_.log(describe(it));
         if (is_read && sources_.is_complete())
-            core_.view_confirmed(shell_.now(), sources_.read_started(), *this);
+            core_.view_confirmed(
+                shell_.now(), sources_.members_read_at(), *this);
         schedule();
     }
 
--- a/packages/runtime/include/radishspread/runtime/rs_packet_platform.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_platform.hpp
@@ -31,7 +31,7 @@
     { Platform::path_of(call) } -> std::same_as<std::string>;
     // Answer of a read or watch; destroys `body`. Empty if unreadable.
     { Platform::parse_page(body) } -> std::same_as<std::optional<item_page>>;
-    // Prefixes of the names of the items to follow.
+    // Prefixes of the names of the items to follow, backend servers last.
     { Platform::prefixes() } -> std::same_as<std::vector<std::string>>;
     // Path on which the fabric asks whether the process is ready.
     { Platform::readiness_path() } -> std::convertible_to<char const*>;
--- a/packages/runtime/include/radishspread/runtime/rs_view_sources.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_view_sources.hpp
@@ -65,15 +65,14 @@
             it->catch_up(now, peer_at(ahead));
     }
 
-    /// Begin of the earliest of the latest complete reads; default if one is
-    /// missing.
-    [[nodiscard]] instant read_started() const {
-        auto out = instant::max();
-        for (auto const& it : sources_)
-            out = std::min(out, it->follower().read_started());
-        return out;
+    /// Begin of the last complete read of the backend servers.
+    [[nodiscard]] instant members_read_at() const {
+        return sources_.back()->follower().read_started();
     }
 
+    /// Reads the backend servers again.
+    void restart_members(instant now) { sources_.back()->restart(now); }
+
     [[nodiscard]] bool is_complete() const {
         return std::all_of(sources_.begin(), sources_.end(),
             [](auto const& it) { return it->is_complete(); });
