--- a/packages/core/include/radishspread/core/rs_packet_events.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_events.hpp
@@ -69,7 +69,7 @@
         {packet_event::flow_sought, severity::info,
             "holder of the flow unknown, all agents asked; value: agents"},
         {packet_event::flow_reset, severity::info,
-            "flow reset: its route is gone"},
+            "flow reset; the reason is printed"},
         {packet_event::flow_found, severity::info,
             "holder of the flow found or changed"},
         {packet_event::agent_suspect, severity::warning,
--- /dev/null
+++ b/packages/core/tests/rs_fleet_view_test.cpp
@@ -0,0 +1,87 @@
+#include "rs_packet_sink.hpp"
+
+#include <radishspread/core/rs_fleet_view.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace radishspread;
+using namespace radishspread::test;
+
+namespace {
+
+instant at(int ms) {
+    return instant(std::chrono::hours(1)) + std::chrono::milliseconds(ms);
+}
+
+} // namespace
+
+TEST_GROUP(fleet_view) {
+    fleet_view view;
+
+    fleet_change removal(std::uint32_t n, revision at_revision) {
+        return {.name = "backend/" + std::to_string(n),
+            .revision = at_revision,
+            .content = no_content{}};
+    }
+};
+
+TEST(fleet_view, lower_revision_changes_nothing) {
+    CHECK(view.apply(at(0), announcement_of(1, 9)));
+    CHECK(!view.apply(at(1), removal(1, 9)));
+    CHECK(!view.members_of(test_service)[0]->is_gone);
+}
+
+// An accepted edit never reverts, also if the store hands out a copy of an
+// older version under a higher revision.
+TEST(fleet_view, older_version_of_the_routes_is_not_used) {
+    view.apply(at(0), routes_of(7, 4));
+    auto older = routes_of(6, 9);
+    std::get<route_set>(older.content).routes.clear();
+    view.apply(at(1), older);
+    CHECK_EQUAL(7, view.route_version());
+    CHECK_EQUAL(test_service, view.service_of(service_address));
+}
+
+TEST(fleet_view, removed_backend_server_is_known_but_not_eligible) {
+    view.apply(at(0), announcement_of(1, 1));
+    view.apply(at(1), removal(1, 2));
+    auto const* it = view.members_of(test_service)[0];
+    CHECK(it->is_gone);
+    CHECK(!view.is_eligible(at(2), *it));
+    view.tick(at(2) + fleet_view::gone_limit + std::chrono::seconds(1));
+    CHECK(view.members_of(test_service).empty());
+}
+
+// Addresses are used again: the later start is meant.
+TEST(fleet_view, address_of_two_announcements_belongs_to_the_later_start) {
+    auto second = announcement_of(1, 2);
+    second.name = "backend/other";
+    std::get<backend_announcement>(second.content).born = 50;
+    view.apply(at(0), announcement_of(1, 1));
+    view.apply(at(0), second);
+    CHECK_EQUAL(50, view.find(backend_address(1))->born);
+}
+
+TEST(fleet_view, failure_domain_is_out_until_its_item_is_removed) {
+    view.apply(at(0), announcement_of(1, 1));
+    view.apply(at(0), {.name = "out/a",
+                          .revision = 2,
+                          .content = domain_taken_out{test_domain}});
+    CHECK(!view.is_eligible(at(1), *view.members_of(test_service)[0]));
+    view.apply(at(5), {.name = "out/a", .revision = 3, .content = {}});
+    CHECK(view.is_eligible(at(6), *view.members_of(test_service)[0]));
+    CHECK(view.returned_at(test_domain) == at(5));
+}
+
+TEST(fleet_view, items_of_one_process_make_the_same_view_in_another) {
+    view.apply(at(0), routes_of(7, 4));
+    view.apply(at(0), announcement_of(1, 5));
+    view.apply(at(0), announcement_of(2, 6));
+    view.apply(at(0), removal(2, 7));
+    fleet_view other;
+    for (auto const& it : view.items(at(1), ""))
+        other.apply(at(1), it);
+    CHECK_EQUAL(7, other.route_version());
+    CHECK_EQUAL(1, other.members_of(test_service).size());
+    CHECK(other.find(backend_address(1)) != nullptr);
+}
--- /dev/null
+++ b/packages/core/tests/rs_placement_test.cpp
@@ -0,0 +1,111 @@
+#include <radishspread/core/internal/rs_jitter.hpp>
+#include <radishspread/core/internal/rs_placement.hpp>
+#include <radishspread/core/internal/rs_rate_window.hpp>
+
+#include <algorithm>
+#include <array>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace radishspread;
+using namespace radishspread::internal;
+
+namespace {
+
+placement_candidate candidate_of(std::uint32_t n, bool is_local, double share) {
+    return {.agent = {.address = n, .port = 1},
+        .is_local = is_local,
+        .share = share};
+}
+
+/// Highest number of openings at one agent after a burst of `count` that is
+/// placed on reports which are refreshed every `refresh` openings.
+template <class Choose>
+double replay_burst(std::size_t count, std::size_t refresh, Choose&& choose) {
+    constexpr std::size_t agents = 7;
+    constexpr double slots = 7;
+    std::array<double, agents> placed{};
+    std::vector<placement_candidate> reported;
+    jitter random(5);
+    for (std::size_t n = 0; n != count; ++n) {
+        if (n % refresh == 0) {
+            reported.clear();
+            for (std::uint32_t it = 0; it != agents; ++it)
+                reported.push_back(candidate_of(it, false, placed[it] / slots));
+        }
+        auto const* chosen = choose(reported, random.next());
+        placed[chosen->agent.address] += 1;
+    }
+    return *std::max_element(placed.begin(), placed.end());
+}
+
+} // namespace
+
+TEST_GROUP(placement){};
+
+TEST(placement, own_failure_domain_is_preferred_while_it_has_free_slots) {
+    std::vector<placement_candidate> const list{
+        candidate_of(1, false, 0), candidate_of(2, true, 0.5)};
+    for (std::uint64_t n = 0; n != 20; ++n)
+        CHECK_EQUAL(2, choose_agent(list, n)->agent.address);
+}
+
+// A request that waits at home is late; one that crosses to another failure
+// domain costs a millisecond.
+TEST(placement, busy_own_failure_domain_is_left) {
+    std::vector<placement_candidate> const list{
+        candidate_of(1, false, 0), candidate_of(2, true, 0.9)};
+    for (std::uint64_t n = 0; n != 20; ++n)
+        CHECK_EQUAL(1, choose_agent(list, n)->agent.address);
+}
+
+TEST(placement, agent_passed_over_is_chosen_only_if_no_other_is_left) {
+    std::vector<placement_candidate> list{
+        candidate_of(1, true, 0), candidate_of(2, false, 3)};
+    list[0].is_passed_over = true;
+    CHECK_EQUAL(2, choose_agent(list, 1)->agent.address);
+    list.pop_back();
+    CHECK_EQUAL(1, choose_agent(list, 1)->agent.address);
+    CHECK(choose_agent({}, 1) == nullptr);
+}
+
+// Open flows bring requests later: equal loads are told apart by them.
+TEST(placement, fewer_open_flows_decide_between_equal_loads) {
+    std::vector<placement_candidate> list{
+        candidate_of(1, true, 0.1), candidate_of(2, true, 0.1)};
+    list[0].flow_share = 8;
+    for (std::uint64_t n = 0; n != 20; ++n)
+        CHECK_EQUAL(2, choose_agent(list, n * 77)->agent.address);
+}
+
+// A burst on old reports: choosing the least loaded sends all of it to one
+// agent until the next report; two choices stay near the mean.
+TEST(placement, burst_on_old_reports_is_spread) {
+    auto const two =
+        replay_burst(98, 49, [](auto const& list, std::uint64_t random) {
+            return choose_agent(list, random);
+        });
+    auto const least =
+        replay_burst(98, 49, [](auto const& list, std::uint64_t) {
+            return &*std::min_element(list.begin(), list.end(),
+                [](auto const& a, auto const& b) { return a.share < b.share; });
+        });
+    constexpr double mean = 14;
+    CHECK(least > 2 * mean);
+    CHECK(two < 2 * mean);
+}
+
+// A token bucket would admit its whole depth on top of the rate.
+TEST(placement, rate_window_admits_no_more_in_any_second) {
+    rate_window window{std::chrono::seconds(1)};
+    instant now{std::chrono::hours(1)};
+    std::vector<instant> admitted;
+    for (int n = 0; n != 300; ++n) {
+        now += std::chrono::milliseconds(17);
+        if (window.admit(now, 4))
+            admitted.push_back(now);
+    }
+    for (std::size_t n = 4; n < admitted.size(); ++n)
+        CHECK(admitted[n] - admitted[n - 4] >= std::chrono::seconds(1));
+}
--- /dev/null
+++ b/packages/wire/tests/rs_agent_packet_codec_test.cpp
@@ -0,0 +1,121 @@
+#include <radishspread/wire/rs_agent_packet_codec.hpp>
+#include <radishspread/wire/rs_item_codec.hpp>
+
+#include <algorithm>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace radishspread;
+
+namespace {
+
+constexpr packet_flow flow{.caller = {.address = 0x64400007, .port = 40001},
+    .service = {.address = 0xc6120001, .port = 443}};
+
+std::vector<std::byte> encode(agent_packet const& message) {
+    auto const head = wire::encode_agent_packet_head(message);
+    std::vector<std::byte> out(head.size() + message.packet.size());
+    auto const end = std::copy(head.begin(), head.end(), out.begin());
+    std::copy(message.packet.begin(), message.packet.end(), end);
+    return out;
+}
+
+} // namespace
+
+TEST_GROUP(agent_packet_codec) {
+    std::vector<std::byte> payload{std::byte{7}, std::byte{8}};
+    agent_packet message{.kind = agent_packet_kind::declined,
+        .why = refusal::overloaded,
+        .is_forced = true,
+        .is_cold = true,
+        .was_located = true,
+        .service = 0xa1b2c3d4,
+        .route_version = 0x1122334455667788,
+        .cold_rate = 400,
+        .in_progress = 3,
+        .slots = 7,
+        .flows = 51,
+        .handshake = 0xfffffff0,
+        .flow = flow,
+        .packet = payload};
+};
+
+TEST(agent_packet_codec, message_survives_a_round_trip) {
+    auto const bytes = encode(message);
+    auto const out = wire::decode_agent_packet(bytes);
+    CHECK(out.has_value());
+    CHECK(out->kind == message.kind && out->why == message.why);
+    CHECK(out->is_forced && out->is_cold && out->was_located);
+    CHECK_EQUAL(message.service, out->service);
+    CHECK_EQUAL(message.route_version, out->route_version);
+    CHECK_EQUAL(message.cold_rate, out->cold_rate);
+    CHECK_EQUAL(message.in_progress, out->in_progress);
+    CHECK_EQUAL(message.slots, out->slots);
+    CHECK_EQUAL(message.flows, out->flows);
+    CHECK_EQUAL(message.handshake, out->handshake);
+    CHECK(out->flow == flow);
+    CHECK(std::vector<std::byte>(out->packet.begin(), out->packet.end()) ==
+          payload);
+}
+
+TEST(agent_packet_codec, malformed_datagrams_are_refused) {
+    auto bytes = encode(message);
+    CHECK(!wire::decode_agent_packet(std::span(bytes).first(39)));
+    for (std::size_t const offset : {0, 1, 2}) {
+        auto bad = bytes;
+        bad[offset] = std::byte{0xee};
+        CHECK(!wire::decode_agent_packet(bad));
+    }
+}
+
+TEST_GROUP(item_codec) {
+    item_page page{.changes = {{.name = "routes",
+                                   .revision = 4,
+                                   .content = route_set{.version = 9,
+                                       .routes = {{flow.service, 5}},
+                                       .warmups = {{.service = 5,
+                                           .period = std::chrono::seconds(2),
+                                           .openings_per_second = 2.5}}}},
+                       {.name = "backend \"1\"",
+                           .revision = 6,
+                           .content = backend_announcement{.service = 5,
+                               .domain = 8,
+                               .backend = flow.caller,
+                               .slots = 7,
+                               .is_draining = true,
+                               .warmup_left = std::chrono::milliseconds(40),
+                               .born = 1791906119026}},
+                       {.name = "out",
+                           .revision = 7,
+                           .content = domain_taken_out{.domain = 8}}},
+        .as_of = 12};
+};
+
+TEST(item_codec, items_survive_a_round_trip) {
+    auto text = wire::encode_items(page);
+    auto const out = wire::decode_items(text);
+    CHECK(out.has_value());
+    CHECK_EQUAL(12, out->as_of);
+    CHECK_EQUAL(3, out->changes.size());
+    auto const routes = std::get<route_set>(out->changes[0].content);
+    CHECK_EQUAL(9, routes.version);
+    CHECK(routes.routes.at(0).address == flow.service);
+    DOUBLES_EQUAL(2.5, routes.warmups.at(0).openings_per_second, 0);
+    auto const backend =
+        std::get<backend_announcement>(out->changes[1].content);
+    CHECK_EQUAL(page.changes[1].name, out->changes[1].name);
+    CHECK(backend.backend == flow.caller);
+    CHECK(backend.is_draining);
+    CHECK(backend.warmup_left == std::chrono::milliseconds(40));
+    CHECK_EQUAL(1791906119026, backend.born);
+    CHECK_EQUAL(8, std::get<domain_taken_out>(out->changes[2].content).domain);
+}
+
+TEST(item_codec, malformed_texts_are_refused) {
+    for (std::string text : {"", "{", "[]", R"({"as_of":1})",
+             R"({"as_of":1,"items":[{"name":"a"}]})",
+             R"({"as_of":1,"items":[{"name":"a","revision":"1"}]})",
+             R"({"as_of":1,"items":[{"name":"a","revision":1,"routes":3}]})"})
+        CHECK(!wire::decode_items(text));
+}
--- a/tests/golden/rs_event_catalogue_test.cpp
+++ b/tests/golden/rs_event_catalogue_test.cpp
@@ -4,6 +4,7 @@
 #include <radishspread/core/rs_agent_events.hpp>
 #include <radishspread/core/rs_balancer_events.hpp>
 #include <radishspread/core/rs_document_events.hpp>
+#include <radishspread/core/rs_packet_events.hpp>
 #include <radishspread/runtime/rs_datagram_events.hpp>
 #include <radishspread/runtime/rs_runtime_events.hpp>
 #include <radishspread/wire/rs_datagram_events.hpp>
@@ -28,7 +29,7 @@
 };
 
 /// One entry for each `*_events.hpp`.
-std::array<area, 7> const areas{{
+std::array<area, 8> const areas{{
     {"Balancer (1000-1099)", balancer_events},
     {"Agent (1100-1199)", agent_events},
     {"Document (1200-1299)", document_events},
@@ -36,6 +37,7 @@
     {"Settings (1400-1499)", config::settings_events},
     {"Datagrams (1500-1599)", runtime::datagram_events},
     {"Datagrams (1500-1599)", wire::datagram_events},
+    {"Packet flows (1600-1699)", packet_events},
 }};
 
 constexpr std::array<std::string_view, 3> severity_names{
