Agents read at once and bound openings before their first read

Change: balancers tell the slots with each opening; agents start due calls at once.

Test (failed first): opening_before_the_first_read_is_bounded_too.

--- a/packages/core/include/radishspread/core/rs_agent_packet.hpp
+++ b/packages/core/include/radishspread/core/rs_agent_packet.hpp
@@ -41,7 +41,7 @@
     std::uint16_t cold_rate = 0;
     /// `held`, `declined`: requests at the backend server without a response.
     std::uint16_t in_progress = 0;
-    std::uint16_t slots = 0;     ///< `held`, `declined`: 0 if unknown.
+    std::uint16_t slots = 0;     ///< Of the backend server; 0 if unknown.
     std::uint16_t flows = 0;     ///< `held`, `declined`: flows open.
     std::uint32_t handshake = 0; ///< `held`: first sequence number, if known.
     packet_flow flow;            ///< Set for all kinds but `leaving`.
--- a/packages/core/include/radishspread/core/rs_packet_agent.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_agent.hpp
@@ -104,7 +104,7 @@
     std::size_t in_progress_ = 0;
     std::uint64_t newest_routes_ = 0; ///< Newest version any balancer showed.
     internal::rate_window cold_window_{std::chrono::seconds(1)};
-    std::uint16_t cold_rate_ = 0; ///< As the last balancer gave it.
+    std::uint16_t told_slots_ = 0; ///< As the last balancer gave them.
     int reported_state_ = -1;
     bool has_read_ = false;
     bool was_first_ = false; ///< Started before the announcement was seen.
--- a/packages/core/src/rs_packet_agent.cpp
+++ b/packages/core/src/rs_packet_agent.cpp
@@ -25,7 +25,7 @@
 
 std::size_t packet_agent::slots() const {
     auto const* self = view_.find(options_.backend);
-    return self == nullptr ? 0 : self->slots;
+    return self == nullptr ? told_slots_ : self->slots;
 }
 
 bool packet_agent::is_cold(instant now, agent_packet const& message) const {
@@ -61,6 +61,7 @@
         return refusal::draining;
     if (is_silent_ && now < next_trial_)
         return refusal::unresponsive;
+    told_slots_ = message.slots;
     auto const limit = slots();
     auto const most =
         message.is_forced ? limit * (1 + options_.queue_factor) : limit;
--- a/packages/core/src/rs_packet_balancer.cpp
+++ b/packages/core/src/rs_packet_balancer.cpp
@@ -71,6 +71,7 @@
         .route_version = view_.route_version(),
         .cold_rate = static_cast<std::uint16_t>(
             std::min<double>(rate, std::numeric_limits<std::uint16_t>::max())),
+        .slots = member != nullptr ? member->slots : std::uint16_t{0},
         .flow = flow,
         .packet = bytes};
 }
@@ -80,10 +81,10 @@
     auto const [found, is_new] = flows_.try_emplace(flow);
     auto& it = found->second;
     it.last_packet = now;
-    if (is_new || it.agent == agent) {
-        it.agent = agent;
-        it.handshake = handshake;
-    } else if (handshake != 0 && it.handshake != 0) {
+    // Two agents that both saw the opening reply have both offered the flow.
+    bool const is_second_offer =
+        !is_new && it.agent != agent && handshake != 0 && it.handshake != 0;
+    if (is_second_offer) {
         it.other = agent;
         it.other_handshake = handshake;
     } else {
--- a/packages/core/src/rs_packet_names.cpp
+++ b/packages/core/src/rs_packet_names.cpp
@@ -25,7 +25,7 @@
 }
 
 std::uint32_t name_tag(std::string_view name) {
-    return XXH32(name.data(), name.size(), 0);
+    return name.empty() ? 0 : XXH32(name.data(), name.size(), 0);
 }
 
 std::uint64_t hash_value(packet_flow const& key) {
--- a/packages/core/tests/rs_packet_agent_test.cpp
+++ b/packages/core/tests/rs_packet_agent_test.cpp
@@ -78,6 +78,22 @@
     CHECK_EQUAL(2, sink.to_backend);
 }
 
+// An agent that had not read its backend server's announcement yet took every
+// opening of the backlog after a power loss, and the backend server shed them.
+TEST(packet_agent, opening_before_the_first_read_is_bounded_too) {
+    packet_agent fresh{packet_agent_options{.service = test_service,
+        .domain = test_domain,
+        .backend = backend_address(1)}};
+    fresh.start(at(0), sink);
+    for (std::uint16_t n = 1; n <= 5; ++n) {
+        auto opening = message(agent_packet_kind::open, flow_of(n));
+        opening.slots = 2;
+        fresh.handle(
+            at(n), balancer_one, opening, opening_packet(flow_of(n)), sink);
+    }
+    CHECK_EQUAL(2, sink.to_backend);
+}
+
 // A flow that a caller opened and left, or took elsewhere, held a slot for five
 // seconds, and agents with idle backend servers declined.
 TEST(packet_agent, opening_that_the_caller_did_not_use_frees_its_slot) {
--- a/packages/runtime/include/radishspread/runtime/rs_packet_agent_process.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_agent_process.hpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 
 namespace radishspread::runtime {
 
@@ -118,6 +119,13 @@
     void tick() {
         core_.tick(shell_.now(), *this);
         sources_.tick(shell_.now());
+        schedule();
+    }
+
+    void schedule() {
+        auto const due = sources_.due();
+        shell_.wake_at(
+            due == instant::max() ? std::nullopt : std::optional(due));
     }
 
     void view_changed(item_page const& page) {
@@ -125,6 +133,7 @@
             shell_.log(describe(it));
         if (sources_.is_complete())
             core_.view_changed(shell_.now(), *this);
+        schedule();
     }
 
     packet_shell& shell_;
