Search in stages without the packet; bound repeated openings by answers

Change: a search asks the agents of its own failure domain, then the others, without the packet, and only then all with it; packets that arrive meanwhile are kept for the holder.

--- a/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
@@ -27,7 +27,7 @@
 
 template <packet_sink Sink>
 void packet_agent::handle(instant now, endpoint from,
-    agent_packet const& message, flow_packet const& packet, Sink& sink) {
+    agent_packet const& message, flow_packet const* packet, Sink& sink) {
     last_event_ = now;
     balancers_[from] = now;
     if (message.route_version > newest_routes_) {
@@ -35,13 +35,34 @@
         if (view_.route_version() < newest_routes_)
             sink.catch_up(from);
     }
-    if (message.kind == agent_packet_kind::open)
-        on_open(now, from, message, packet, sink);
+    if (packet == nullptr)
+        on_locate(now, from, message, sink);
+    else if (message.kind == agent_packet_kind::open)
+        on_open(now, from, message, *packet, sink);
     else if (message.service != options_.service)
         send_not_held(from, message.flow,
             message.kind == agent_packet_kind::locate, message.packet, sink);
     else
-        on_packet(now, from, message, packet, sink);
+        on_packet(now, from, message, *packet, sink);
+}
+
+template <packet_sink Sink>
+void packet_agent::on_locate(
+    instant, endpoint from, agent_packet const& message, Sink& sink) {
+    using internal::held_state;
+    auto const found = flows_.find(message.flow);
+    bool const is_ours =
+        found != flows_.end() &&
+        (found->second.state == held_state::open ||
+            (found->second.state == held_state::offered &&
+                found->second.matches(true, message.handshake)));
+    // Silence unless the flow is known to be here: the balancer asks on.
+    if (!is_ours || message.kind != agent_packet_kind::locate ||
+        message.service != options_.service)
+        return;
+    found->second.balancer = from;
+    found->second.told = from;
+    send_held(from, message.flow, found->second, sink);
 }
 
 template <packet_sink Sink>
--- a/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
@@ -43,7 +43,7 @@
     for (auto& [flow, it] : searches_)
         if (it.denied_at != instant{} && it.denied_at < read_started &&
             it.unanswered.empty())
-            ask_all(now, flow, it, sink);
+            ask(now, flow, it, sink);
 }
 
 template <packet_sink Sink>
@@ -70,8 +70,14 @@
             make_open(now, flow, service, it->second.agent, packet.bytes));
     }
     auto const [entry, is_new] = openings_.try_emplace(flow);
-    if (!is_new) // Asking agents goes on by itself.
+    if (!is_new) {
+        // A copy. While agents are asked it is not needed; otherwise it is the
+        // caller's own repetition.
+        auto& it = entry->second;
+        if (!it.awaits_view && it.answer_due == instant::max())
+            repeat_open(now, flow, it, sink);
         return;
+    }
     if (openings_.size() > options_.max_openings) {
         openings_.erase(entry);
         sink.log({.number = packet_event::opening_refused,
@@ -138,6 +144,14 @@
     sink.send(agent, message);
 }
 
+template <packet_sink Sink>
+void packet_balancer::repeat_open(
+    instant now, packet_flow const& flow, opening& it, Sink& sink) {
+    it.answer_due = now + options_.answer_limit;
+    sink.send(it.agent, make_open(now, flow, it.service, it.agent,
+                            {it.packet.data(), it.packet.size()}));
+}
+
 template <packet_sink Sink>
 bool packet_balancer::give_up(
     instant now, packet_flow const& flow, opening& it, Sink& sink) {
@@ -191,46 +205,95 @@
     sink.reset_caller(flow, packet.acknowledged);
 }
 
-// The packet itself goes to all agents of the service, so that the search
-// costs the caller no time: the holder passes it on and says so.
 template <packet_sink Sink>
 void packet_balancer::search(
     instant now, flow_packet const& packet, std::uint32_t service, Sink& sink) {
     auto const flow = packet.from_caller();
-    auto& it = searches_[flow];
+    auto const [found, is_new] = searches_.try_emplace(flow);
+    auto& it = found->second;
+    it.keep(packet);
+    if (!is_new && now < it.repeat)
+        return;
+    // A search that found nobody goes on with the stage that leaves no doubt.
+    if (is_new)
+        it.stage = internal::search_stage::near;
     it.service = service;
     it.started = now;
-    it.acknowledged = packet.acknowledged;
-    it.packet.assign(packet.bytes.begin(), packet.bytes.end());
-    ask_all(now, flow, it, sink);
+    ask(now, flow, it, sink);
 }
 
+// The early stages leave the packet out: with a large service and a narrow link
+// it would delay the flows that are found.
 template <packet_sink Sink>
-void packet_balancer::ask_all(instant now, packet_flow const& flow,
+void packet_balancer::ask(instant now, packet_flow const& flow,
     internal::flow_search& it, Sink& sink) {
+    using internal::search_stage;
+    it.repeat = now + options_.search_interval;
+    it.next_stage = instant::max();
     it.unanswered.clear();
     if (!search_rate_.admit(now, options_.max_searches))
         return;
-    agent_packet const message{.kind = agent_packet_kind::locate,
+    std::size_t asked = 0;
+    while ((asked = ask_stage(now, flow, it, sink)) == 0 &&
+           it.stage != search_stage::tried)
+        it.stage = internal::next(it.stage);
+    if (it.stage != search_stage::tried)
+        it.next_stage = now + options_.stage_limit;
+    sink.log({.number = packet_event::flow_sought,
+        .flow = flow,
+        .version = view_.route_version(),
+        .value = static_cast<std::int64_t>(asked)});
+}
+
+template <packet_sink Sink>
+std::size_t packet_balancer::ask_stage(instant now, packet_flow const& flow,
+    internal::flow_search& it, Sink& sink) {
+    using internal::search_stage;
+    bool const is_tried = it.stage == search_stage::tried;
+    agent_packet message{.kind = agent_packet_kind::locate,
         .service = it.service,
         .route_version = view_.route_version(),
-        .flow = flow,
-        .packet = {it.packet.data(), it.packet.size()}};
+        .handshake = it.acknowledged,
+        .flow = flow};
+    if (is_tried)
+        message.packet = it.kept.back();
     boost::container::small_vector<endpoint, 16> asked;
     for (auto const* member : view_.members_of(it.service)) {
         auto const agent = agent_of(*member);
-        if (std::find(asked.begin(), asked.end(), agent) != asked.end())
+        bool const is_near = member->domain == options_.domain;
+        bool const is_in_stage =
+            is_tried || is_near == (it.stage == search_stage::near);
+        if (!is_in_stage ||
+            std::find(asked.begin(), asked.end(), agent) != asked.end())
             continue;
         asked.push_back(agent);
         sink.send(agent, message);
         // A backend server gone for long has left its flows.
-        if (!member->is_gone || now - member->gone_at < options_.gone_grace)
+        bool const must_answer =
+            !member->is_gone || now - member->gone_at < options_.gone_grace;
+        if (is_tried && must_answer)
             it.unanswered.push_back(agent);
     }
-    sink.log({.number = packet_event::flow_sought,
-        .flow = flow,
-        .version = view_.route_version(),
-        .value = static_cast<std::int64_t>(asked.size())});
+    return asked.size();
+}
+
+template <packet_sink Sink>
+void packet_balancer::end_search(
+    packet_flow const& flow, endpoint holder, Sink& sink) {
+    auto const found = searches_.find(flow);
+    if (found == searches_.end())
+        return;
+    auto& it = found->second;
+    // The holder has the packet that was tried.
+    if (it.stage == internal::search_stage::tried)
+        it.kept.pop_back();
+    for (auto const& packet : it.kept)
+        sink.send(holder, {.kind = agent_packet_kind::carry,
+                              .service = it.service,
+                              .route_version = view_.route_version(),
+                              .flow = flow,
+                              .packet = packet});
+    searches_.erase(found);
 }
 
 // A reset spares the caller the wait for its timeout. It is sent only if every
@@ -281,13 +344,15 @@
 void packet_balancer::on_held(
     instant now, endpoint from, agent_packet const& message, Sink& sink) {
     loads_.report(now, from, message);
-    searches_.erase(message.flow);
     bool const was_opening = openings_.erase(message.flow) > 0;
-    if (!was_opening)
+    if (was_opening)
+        retries_.answered();
+    else
         sink.log({.number = packet_event::flow_found,
             .flow = message.flow,
             .peer = from});
     note_agent(now, message.flow, from, message.handshake);
+    end_search(message.flow, from, sink);
 }
 
 template <packet_sink Sink>
@@ -333,6 +398,20 @@
         search(now, *packet, service, sink);
 }
 
+template <packet_sink Sink>
+bool packet_balancer::on_silence(
+    instant now, packet_flow const& flow, opening& it, Sink& sink) {
+    it.has_silent_agent = true;
+    it.last_refusal = refusal::unanswered;
+    if (loads_.missed(now, it.agent, options_.suspect_time))
+        sink.log({.number = packet_event::agent_suspect, .peer = it.agent});
+    if (retries_.take())
+        return place(now, flow, it, sink);
+    // Too few answers altogether: the caller's copy repeats the opening.
+    it.answer_due = instant::max();
+    return true;
+}
+
 template <packet_sink Sink>
 void packet_balancer::tick(instant now, Sink& sink) {
     check_pause(now, sink);
@@ -346,15 +425,16 @@
                 .why = refusal::unanswered,
                 .value = static_cast<std::int64_t>(entry.tried.size())});
         } else if (now >= entry.answer_due) {
-            entry.has_silent_agent = true;
-            entry.last_refusal = refusal::unanswered;
-            if (loads_.missed(now, entry.agent, options_.suspect_time))
-                sink.log({.number = packet_event::agent_suspect,
-                    .peer = entry.agent});
-            is_over = !place(now, flow, entry, sink);
+            is_over = !on_silence(now, flow, entry, sink);
         }
         it = is_over ? openings_.erase(it) : std::next(it);
     }
+    for (auto& [flow, it] : searches_) {
+        if (now < it.next_stage)
+            continue;
+        it.stage = internal::next(it.stage);
+        ask(now, flow, it, sink);
+    }
     if (now >= next_sweep_) {
         next_sweep_ = now + std::chrono::seconds(1);
         view_.tick(now);
--- a/packages/core/include/radishspread/core/rs_agent_packet.hpp
+++ b/packages/core/include/radishspread/core/rs_agent_packet.hpp
@@ -14,7 +14,7 @@
 enum class agent_packet_kind : std::uint8_t {
     open = 1, ///< To the agent: an opening to take or to decline.
     carry,    ///< To the agent: a packet of a flow that it should hold.
-    locate,   ///< To the agent: a packet for whoever holds the flow.
+    locate,   ///< To the agent: who holds the flow? Perhaps with a packet.
     held,     ///< To the balancer: the agent holds the flow.
     declined, ///< To the balancer: opening not taken; contains the packet.
     not_held, ///< To the balancer: flow not here; contains the packet.
@@ -41,10 +41,12 @@
     std::uint16_t cold_rate = 0;
     /// `held`, `declined`: requests at the backend server without a response.
     std::uint16_t in_progress = 0;
-    std::uint16_t slots = 0;     ///< Of the backend server; 0 if unknown.
-    std::uint16_t flows = 0;     ///< `held`, `declined`: flows open.
-    std::uint32_t handshake = 0; ///< `held`: first sequence number, if known.
-    packet_flow flow;            ///< Set for all kinds but `leaving`.
+    std::uint16_t slots = 0; ///< Of the backend server; 0 if unknown.
+    std::uint16_t flows = 0; ///< `held`, `declined`: flows open.
+    /// `held`: first sequence number of the backend server, 0 if unknown;
+    /// `locate`: what the caller acknowledges.
+    std::uint32_t handshake = 0;
+    packet_flow flow;                  ///< Set for all kinds but `leaving`.
     std::span<std::byte const> packet; ///< Kinds that contain a packet.
 };
 
--- a/packages/core/include/radishspread/core/rs_packet_agent.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_agent.hpp
@@ -28,10 +28,11 @@
 
     template <packet_sink Sink> void start(instant now, Sink& sink);
 
-    /// A message of the balancer at `from`; `packet` is its decoded packet.
+    /// A message of the balancer at `from`; `packet` is its decoded packet, or
+    /// null if it has none.
     template <packet_sink Sink>
     void handle(instant now, endpoint from, agent_packet const& message,
-        flow_packet const& packet, Sink& sink);
+        flow_packet const* packet, Sink& sink);
 
     /// A packet from the backend server.
     template <packet_sink Sink>
@@ -62,6 +63,9 @@
     void on_open(instant now, endpoint from, agent_packet const& message,
         flow_packet const& packet, Sink& sink);
     template <packet_sink Sink>
+    void on_locate(
+        instant now, endpoint from, agent_packet const& message, Sink& sink);
+    template <packet_sink Sink>
     void on_packet(instant now, endpoint from, agent_packet const& message,
         flow_packet const& packet, Sink& sink);
     template <packet_sink Sink>
--- a/packages/core/include/radishspread/core/rs_packet_balancer.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_balancer.hpp
@@ -8,6 +8,7 @@
 #include <radishspread/core/internal/rs_pending_opening.hpp>
 #include <radishspread/core/internal/rs_placement.hpp>
 #include <radishspread/core/internal/rs_rate_window.hpp>
+#include <radishspread/core/internal/rs_retry_tokens.hpp>
 #include <radishspread/core/rs_fleet_view.hpp>
 #include <radishspread/core/rs_flow_packet.hpp>
 #include <radishspread/core/rs_packet_balancer_options.hpp>
@@ -76,10 +77,17 @@
     template <packet_sink Sink>
     void search(instant now, flow_packet const& packet, std::uint32_t service,
         Sink& sink);
-    /// Sends the packet of the search to all agents of the service.
+    /// Asks the agents of the search's stage, or of the next that has any.
     template <packet_sink Sink>
-    void ask_all(instant now, packet_flow const& flow,
+    void ask(instant now, packet_flow const& flow, internal::flow_search& it,
+        Sink& sink);
+    /// Returns the count of agents asked.
+    template <packet_sink Sink>
+    std::size_t ask_stage(instant now, packet_flow const& flow,
         internal::flow_search& it, Sink& sink);
+    /// Sends the packets kept in the search to the holder.
+    template <packet_sink Sink>
+    void end_search(packet_flow const& flow, endpoint holder, Sink& sink);
     template <packet_sink Sink>
     void on_denied(
         instant now, endpoint from, packet_flow const& flow, Sink& sink);
@@ -93,6 +101,14 @@
     template <packet_sink Sink>
     void send_open(instant now, packet_flow const& flow, opening& it,
         endpoint agent, Sink& sink);
+    /// Asks the same agent again.
+    template <packet_sink Sink>
+    void repeat_open(
+        instant now, packet_flow const& flow, opening& it, Sink& sink);
+    /// The agent asked last did not answer. Returns false if the opening ended.
+    template <packet_sink Sink>
+    bool on_silence(
+        instant now, packet_flow const& flow, opening& it, Sink& sink);
     /// No agent is left to ask. Returns false if the opening ended.
     template <packet_sink Sink>
     bool give_up(instant now, packet_flow const& flow, opening& it, Sink& sink);
@@ -129,6 +145,7 @@
     search_table searches_;
     internal::agent_loads loads_;
     internal::rate_window search_rate_{std::chrono::seconds(1)};
+    internal::retry_tokens retries_;
     internal::jitter random_;
     bool is_proven_ = false;
     instant last_event_;
--- a/packages/core/include/radishspread/core/rs_packet_balancer_options.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_balancer_options.hpp
@@ -25,7 +25,11 @@
     duration leaving_time = std::chrono::seconds(1);
     /// A report of load older than this says nothing.
     duration load_age_limit = std::chrono::seconds(1);
-    /// Packets a second that may be sent to all agents of a service.
+    /// Time that a stage of a search waits for an answer.
+    duration stage_limit = std::chrono::milliseconds(10);
+    /// A search that found nobody begins again after this time at the earliest.
+    duration search_interval = std::chrono::milliseconds(100);
+    /// Rounds of asking agents for a flow, a second.
     std::size_t max_searches = 4000;
     /// A search that found nothing is forgotten after this time.
     duration search_limit = std::chrono::seconds(3);
--- a/packages/core/src/rs_packet_balancer.cpp
+++ b/packages/core/src/rs_packet_balancer.cpp
@@ -96,12 +96,16 @@
 }
 
 std::optional<instant> packet_balancer::next_due() const {
-    if (openings_.empty())
+    if (openings_.empty() && searches_.empty())
         return std::nullopt;
     auto due = instant::max();
+    for (auto const& [flow, it] : searches_)
+        due = std::min(due, it.next_stage);
     for (auto const& [flow, it] : openings_)
         due =
             std::min({due, it.answer_due, it.started + options_.opening_limit});
+    if (due == instant::max())
+        return std::nullopt;
     return due;
 }
 
--- a/packages/core/src/rs_packet_names.cpp
+++ b/packages/core/src/rs_packet_names.cpp
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include <array>
+#include <string>
 
 namespace radishspread {
 
@@ -25,7 +26,9 @@
 }
 
 std::uint32_t name_tag(std::string_view name) {
-    return name.empty() ? 0 : XXH32(name.data(), name.size(), 0);
+    // A string's data is never null, which a view's may be.
+    std::string const text(name);
+    return XXH32(text.data(), text.size(), 0);
 }
 
 std::uint64_t hash_value(packet_flow const& key) {
--- a/packages/runtime/include/radishspread/runtime/rs_packet_agent_process.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_agent_process.hpp
@@ -110,9 +110,13 @@
         auto const message = wire::decode_agent_packet(data);
         if (!message)
             return false;
+        if (message->packet.empty()) {
+            core_.handle(now, from, *message, nullptr, *this);
+            return true;
+        }
         auto const packet = Platform::decode(message->packet);
         if (packet)
-            core_.handle(now, from, *message, *packet, *this);
+            core_.handle(now, from, *message, &*packet, *this);
         return packet.has_value();
     }
 
