Lapsed announcements are held; fruitless searches back off

Change: backend servers that are removed unannounced within a second of each other stay eligible for 2.5 s; an agent declines for its own announcement only if that says draining; a search that found nobody begins again after 100 ms, doubled each time, and searches send at most 2,500 messages a second.

--- a/packages/core/include/radishspread/core/internal/rs_flow_search.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_flow_search.hpp
@@ -36,7 +36,8 @@
     instant started;
     instant next_stage; ///< `instant::max()` after the last one.
     instant repeat;     ///< Earliest time at which a packet starts it again.
-    instant denied_at;  ///< All agents asked first denied it; default: not yet.
+    unsigned repeat_factor = 1;
+    instant denied_at; ///< All agents asked first denied it; default: not yet.
     std::uint32_t acknowledged = 0; ///< Of the caller's last packet.
     boost::container::small_vector<endpoint, 16> unanswered;
     /// Packets that arrived meanwhile, the oldest first.
--- a/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
@@ -228,10 +228,12 @@
 void packet_balancer::ask(instant now, packet_flow const& flow,
     internal::flow_search& it, Sink& sink) {
     using internal::search_stage;
-    it.repeat = now + options_.search_interval;
+    it.repeat = now + options_.search_interval * it.repeat_factor;
+    if (it.stage == search_stage::tried)
+        it.repeat_factor *= 2;
     it.next_stage = instant::max();
     it.unanswered.clear();
-    if (!search_rate_.admit(now, options_.max_searches))
+    if (search_rate_.count(now) >= options_.max_search_datagrams)
         return;
     std::size_t asked = 0;
     while ((asked = ask_stage(now, flow, it, sink)) == 0 &&
@@ -267,6 +269,7 @@
             std::find(asked.begin(), asked.end(), agent) != asked.end())
             continue;
         asked.push_back(agent);
+        search_rate_.add(now);
         sink.send(agent, message);
         // A backend server gone for long has left its flows.
         bool const must_answer =
--- a/packages/core/include/radishspread/core/internal/rs_rate_window.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_rate_window.hpp
@@ -24,6 +24,12 @@
         return true;
     }
 
+    /// Events in the window that ends now.
+    [[nodiscard]] std::size_t count(instant now) {
+        expire(now);
+        return times_.size();
+    }
+
     /// Counts an event that was not asked for.
     void add(instant now) {
         expire(now);
--- a/packages/core/include/radishspread/core/rs_fleet_view.hpp
+++ b/packages/core/include/radishspread/core/rs_fleet_view.hpp
@@ -75,6 +75,8 @@
     /// Highest revision of any item.
     [[nodiscard]] revision newest() const { return newest_; }
 
+    /// Announcements that end unannounced this close together have lapsed.
+    static constexpr duration lapse_window = std::chrono::seconds(1);
     static constexpr duration gone_limit = std::chrono::seconds(60);
     static constexpr duration lapse_hold = std::chrono::milliseconds(2500);
 
@@ -101,6 +103,7 @@
     revision newest_ = 0;
     bool is_reachable_ = true;
     instant reachable_since_;
+    instant last_lapse_; ///< Last removal without draining.
 };
 
 } // namespace radishspread
--- a/packages/core/include/radishspread/core/rs_packet_balancer_options.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_balancer_options.hpp
@@ -27,10 +27,11 @@
     duration load_age_limit = std::chrono::seconds(1);
     /// Time that a stage of a search waits for an answer.
     duration stage_limit = std::chrono::milliseconds(10);
-    /// A search that found nobody begins again after this time at the earliest.
+    /// A search that found nobody begins again after this time at the earliest,
+    /// which doubles each time.
     duration search_interval = std::chrono::milliseconds(100);
-    /// Rounds of asking agents for a flow, a second.
-    std::size_t max_searches = 4000;
+    /// Messages of searches a second, about a fifth of a link of 10 Mbit/s.
+    std::size_t max_search_datagrams = 2500;
     /// A search that found nothing is forgotten after this time.
     duration search_limit = std::chrono::seconds(3);
     /// A removed backend server may live on, its announcement lapsed; after
--- a/packages/core/src/rs_fleet_view.cpp
+++ b/packages/core/src/rs_fleet_view.cpp
@@ -60,10 +60,17 @@
     auto const it = members_.find(name);
     if (it == members_.end() || it->second.is_gone)
         return;
-    it->second.is_gone = true;
-    it->second.gone_at = is_reachable_
-                             ? std::max(now, reachable_since_ + lapse_hold)
-                             : now + lapse_hold;
+    auto& entry = it->second;
+    entry.is_gone = true;
+    entry.gone_at = is_reachable_ ? std::max(now, reachable_since_ + lapse_hold)
+                                  : now + lapse_hold;
+    if (entry.is_draining)
+        return;
+    // Several that leave unannounced at the same time have lapsed in an outage
+    // that this process has not noticed.
+    if (last_lapse_ != instant{} && now - last_lapse_ < lapse_window)
+        entry.gone_at = now + lapse_hold;
+    last_lapse_ = now;
 }
 
 void fleet_view::finish_read(instant now, std::string_view prefix,
--- a/packages/core/src/rs_packet_agent.cpp
+++ b/packages/core/src/rs_packet_agent.cpp
@@ -57,7 +57,9 @@
     if (view_.is_out(options_.domain))
         return refusal::domain_out;
     auto const* self = view_.find(options_.backend);
-    if (self != nullptr && !view_.is_eligible(now, *self))
+    // An announcement that is gone may have lapsed; a backend server that is
+    // really gone does not answer.
+    if (self != nullptr && self->is_draining)
         return refusal::draining;
     if (is_silent_ && now < next_trial_)
         return refusal::unresponsive;
--- a/packages/core/tests/rs_fleet_view_test.cpp
+++ b/packages/core/tests/rs_fleet_view_test.cpp
@@ -85,3 +85,32 @@
     CHECK_EQUAL(1, other.members_of(test_service).size());
     CHECK(other.find(backend_address(1)) != nullptr);
 }
+
+// After an outage that this process did not notice, because its watch went on
+// waiting, all announcements lapsed at once, and every opening was refused.
+TEST(fleet_view, backend_servers_removed_together_stay_eligible_for_a_while) {
+    for (std::uint32_t n = 1; n <= 4; ++n)
+        view.apply(at(0), announcement_of(n, n));
+    for (std::uint32_t n = 1; n <= 4; ++n)
+        view.apply(at(100), removal(n, 10 + n));
+    auto const eligible = [&](int ms) {
+        int count = 0;
+        for (auto const* it : view.members_of(test_service))
+            count += view.is_eligible(at(ms), *it) ? 1 : 0;
+        return count;
+    };
+    CHECK(eligible(2000) >= 3);
+    CHECK_EQUAL(0, eligible(2700));
+}
+
+// Planned removals are announced as draining before.
+TEST(fleet_view, draining_backend_servers_removed_together_go_at_once) {
+    for (std::uint32_t n = 1; n <= 3; ++n) {
+        auto change = announcement_of(n, n);
+        std::get<backend_announcement>(change.content).is_draining = true;
+        view.apply(at(0), change);
+        view.apply(at(100), removal(n, 10 + n));
+    }
+    for (auto const* it : view.members_of(test_service))
+        CHECK(!view.is_eligible(at(101), *it));
+}
--- a/packages/core/tests/rs_packet_agent_test.cpp
+++ b/packages/core/tests/rs_packet_agent_test.cpp
@@ -273,3 +273,11 @@
     CHECK(sink.sent[0].message.kind == agent_packet_kind::held);
     CHECK_EQUAL(0, sink.to_backend);
 }
+
+// The announcement of a living backend server may lapse; balancers that have
+// other candidates pass it over, and its agent need not refuse as well.
+TEST(packet_agent, lapsed_announcement_alone_declines_nothing) {
+    core.view().apply(at(0), {.name = "backend/1", .revision = 9});
+    open(flow_of(1), 100);
+    CHECK_EQUAL(1, sink.to_backend);
+}
--- a/packages/core/tests/rs_packet_balancer_test.cpp
+++ b/packages/core/tests/rs_packet_balancer_test.cpp
@@ -288,3 +288,24 @@
     CHECK_EQUAL(3, sink.count(agent_packet_kind::locate));
     CHECK_EQUAL(packet_bytes.size(), sink.sent.back().packet.size());
 }
+
+// After a power loss every flow is sought, and callers repeat their packets: on
+// a narrow link the searches kept each other from ending for 15 seconds.
+TEST(packet_balancer, fruitless_searches_back_off_and_are_bounded) {
+    for (int ms = 0; ms < 950; ms += 50) {
+        for (std::uint16_t n = 1; n <= 400; ++n)
+            core.handle_caller(at(ms), caller_packet_of(flow_of(n), 7), sink);
+        core.tick(at(ms + 20), sink);
+    }
+    CHECK(sink.count(agent_packet_kind::locate) <=
+          packet_balancer_options{}.max_search_datagrams + 3);
+    core.tick(at(4900), sink); // Forgets these searches.
+    sink.clear();
+    core.handle_caller(at(5000), caller_packet_of(flow_of(900), 7), sink);
+    for (int ms = 5000; ms < 6000; ms += 20) {
+        core.handle_caller(at(ms), caller_packet_of(flow_of(900), 7), sink);
+        core.tick(at(ms + 11), sink);
+    }
+    // Three agents, one early stage, then tries at 100, 300 and 700 ms or so.
+    CHECK(sink.count(agent_packet_kind::locate) <= 5 * 3);
+}
--- a/packages/runtime/include/radishspread/runtime/rs_packet_agent_process.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_agent_process.hpp
@@ -64,7 +64,7 @@
     // Balancers act on changes too, so an agent may hear of them a little
     // later and make fewer calls.
     static constexpr duration watch_wait = std::chrono::seconds(10);
-    static constexpr duration collect = std::chrono::milliseconds(300);
+    static constexpr duration collect = std::chrono::milliseconds(1500);
 
     static packet_agent_options make_options(
         config::packet_settings const& settings) {
