A full flow table is logged; unused functions removed

Cause: the event for a full flow table was in the catalogue and never written; two functions had no caller.

Change: the balancer logs it when it drops the quietest flows.

Test: full_flow_table_drops_the_quietest_flows.

--- a/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
@@ -239,6 +239,11 @@
             .flow = message.flow,
             .peer = from});
     note_agent(now, message.flow, from, message.handshake);
+    if (flows_.size() > options_.max_flows) {
+        sink.log({.number = packet_event::table_full,
+            .value = static_cast<std::int64_t>(flows_.size())});
+        sweep(now);
+    }
     end_search(message.flow, from, sink);
 }
 
--- a/packages/core/include/radishspread/core/rs_fleet_view.hpp
+++ b/packages/core/include/radishspread/core/rs_fleet_view.hpp
@@ -72,8 +72,6 @@
     [[nodiscard]] bool is_eligible(instant now, member const& it) const;
     /// Time at which a taken-out failure domain came back; default if never.
     [[nodiscard]] instant returned_at(std::uint32_t domain) const;
-    /// Highest revision of any item.
-    [[nodiscard]] revision newest() const { return newest_; }
 
     /// Announcements that end unannounced this close together have lapsed.
     static constexpr duration lapse_window = std::chrono::seconds(1);
@@ -100,7 +98,6 @@
     std::vector<service_warmup> warmups_;
     std::string routes_name_; ///< Item that the routes come from.
     std::uint64_t version_ = 0;
-    revision newest_ = 0;
     bool is_reachable_ = true;
     instant reachable_since_;
     instant last_lapse_; ///< Last removal without draining.
--- a/packages/core/src/rs_fleet_view.cpp
+++ b/packages/core/src/rs_fleet_view.cpp
@@ -9,7 +9,6 @@
     if (change.revision <= held)
         return false;
     held = change.revision;
-    newest_ = std::max(newest_, change.revision);
     auto const* routes = std::get_if<route_set>(&change.content);
     auto const* backend = std::get_if<backend_announcement>(&change.content);
     auto const* domain = std::get_if<domain_taken_out>(&change.content);
@@ -75,7 +74,6 @@
 
 void fleet_view::finish_read(instant now, std::string_view prefix,
     std::set<std::string, std::less<>> const& names, revision as_of) {
-    newest_ = std::max(newest_, as_of);
     for (auto it = revisions_.lower_bound(prefix);
          it != revisions_.end() && it->first.starts_with(prefix); ++it) {
         if (it->second > as_of || names.contains(it->first))
--- a/packages/core/src/rs_packet_balancer.cpp
+++ b/packages/core/src/rs_packet_balancer.cpp
@@ -91,8 +91,6 @@
         it.agent = agent;
         it.handshake = handshake;
     }
-    if (flows_.size() > options_.max_flows)
-        sweep(now);
 }
 
 std::optional<instant> packet_balancer::next_due() const {
--- a/packages/core/tests/rs_packet_balancer_test.cpp
+++ b/packages/core/tests/rs_packet_balancer_test.cpp
@@ -2,6 +2,8 @@
 
 #include <radishspread/core/rs_packet_balancer.hpp>
 
+#include <algorithm>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace radishspread;
@@ -89,6 +91,22 @@
     CHECK(sink.sent[0].message.kind == agent_packet_kind::carry);
 }
 
+// A full cache costs searches, never flows, and operators are told.
+TEST(packet_balancer, full_flow_table_drops_the_quietest_flows) {
+    packet_balancer small{packet_balancer_options{
+        .domain = test_domain, .agent_port = agent_port, .max_flows = 10}};
+    small.start(at(0), sink);
+    for (std::uint16_t n = 1; n <= 30; ++n)
+        small.handle(at(n * 900), agent_address(1),
+            {.kind = agent_packet_kind::held,
+                .service = test_service,
+                .flow = flow_of(n)},
+            nullptr, sink);
+    CHECK(small.flows() <= 10);
+    CHECK(std::count(sink.events.begin(), sink.events.end(),
+              packet_event::table_full) > 0);
+}
+
 // Guards against waiting for the caller's second copy, 200 ms later, when the
 // agent asked first is dead.
 TEST(packet_balancer, opening_without_answer_goes_to_another_agent) {
--- a/packages/runtime/include/radishspread/runtime/rs_item_source.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_item_source.hpp
@@ -62,7 +62,6 @@
         return follower_.is_outstanding();
     }
     [[nodiscard]] instant due() const { return follower_.due(); }
-    [[nodiscard]] std::uint64_t calls() const { return call_id_; }
 
     /// Supplies the time; set once before the first call.
     std::function<instant()> clock;
