--- a/packages/runtime/src/rs_configuration_client.cpp
+++ b/packages/runtime/src/rs_configuration_client.cpp
@@ -21,7 +21,9 @@
 configuration_client::configuration_client(configuration_client_options options)
     : options_(options),
       session_(soup_session_new_with_options("max-conns-per-host",
-          max_connections, "user-agent", "radishspread", nullptr)) {}
+          max_connections, "user-agent", "radishspread", "proxy-resolver",
+          // The default one loads desktop settings, half of a start's time.
+          nullptr, nullptr)) {}
 
 configuration_client::~configuration_client() {
     reset();
