--- a/packages/core/include/radishspread/core/internal/rs_held_flow.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_held_flow.hpp
@@ -29,6 +29,7 @@
     endpoint balancer;           ///< Last one that sent a packet of the flow.
     endpoint told;               ///< Last one told that the flow is here.
     instant opened_at;
+    instant outstanding_since; ///< Of the opening or data not answered yet.
     instant last_packet;
 
     /// True if the packet can belong to the opening that this agent passed on:
--- a/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
@@ -9,7 +9,6 @@
 
 template <packet_sink Sink> void packet_agent::start(instant now, Sink&) {
     last_event_ = now;
-    last_backend_packet_ = now;
 }
 
 template <packet_sink Sink>
@@ -74,15 +73,10 @@
         .why = why,
         .version = message.route_version,
         .value = static_cast<std::int64_t>(in_progress_)});
-    sink.send(to, {.kind = agent_packet_kind::declined,
-                      .why = why,
-                      .service = options_.service,
-                      .route_version = newest_routes_,
-                      .in_progress = static_cast<std::uint16_t>(in_progress_),
-                      .slots = static_cast<std::uint16_t>(slots()),
-                      .flows = static_cast<std::uint16_t>(open_),
-                      .flow = message.flow,
-                      .packet = message.packet});
+    auto answer = make_report(agent_packet_kind::declined, message.flow);
+    answer.why = why;
+    answer.packet = message.packet;
+    sink.send(to, answer);
 }
 
 template <packet_sink Sink>
@@ -92,48 +86,107 @@
     bool const is_copy = known != flows_.end() &&
                          known->second.state <= internal::held_state::open;
     expire_unused(now);
-    if (!is_copy) {
-        bool const is_full =
-            known == flows_.end() && flows_.size() >= options_.max_flows;
-        auto const why = is_full ? refusal::overloaded : judge(now, message);
-        if (why != refusal::none)
-            return decline(now, from, message, why, sink);
+    if (is_copy) {
+        auto& it = known->second;
+        it.balancer = from;
+        it.last_packet = now;
+        // The balancer asks again: the earlier answer may be lost.
+        if (it.state != internal::held_state::opening)
+            send_held(from, message.flow, it, sink);
+        return sink.send_backend(packet.bytes);
     }
+    if (queue_.contains(message.flow))
+        return sink.send(
+            from, make_report(agent_packet_kind::queued, message.flow));
+    bool const is_full =
+        known == flows_.end() && flows_.size() >= options_.max_flows;
+    auto const why = is_full ? refusal::overloaded : judge(now, message);
+    if (why == refusal::none)
+        return take(now, from, message, packet.bytes, sink);
+    if (why == refusal::overloaded && message.is_forced && !is_full)
+        return enqueue(now, from, message, packet, sink);
+    decline(now, from, message, why, sink);
+}
+
+template <packet_sink Sink>
+void packet_agent::take(instant now, endpoint from, agent_packet const& message,
+    std::span<std::byte const> bytes, Sink& sink) {
     auto& it = insert(now, message.flow);
     it.balancer = from;
     it.last_packet = now;
-    if (!is_copy) {
-        it.opened_at = now;
-        it.told = {};
-        it.has_data = false;
-        unused_.emplace_back(now, message.flow);
-        set_state(it, internal::held_state::opening);
-        set_outstanding(it, true);
-        if (oldest_unanswered_ == instant{})
-            oldest_unanswered_ = now;
-        sink.log({.number = packet_event::opening_taken,
-            .flow = message.flow,
-            .peer = from,
-            .version = message.route_version,
-            .value = static_cast<std::int64_t>(open_)});
-    } else if (it.state != internal::held_state::opening) {
-        // The balancer asks again: the earlier answer may be lost.
-        send_held(from, message.flow, it, sink);
+    it.opened_at = now;
+    it.told = {};
+    it.has_data = false;
+    unused_.emplace_back(now, message.flow);
+    set_state(it, internal::held_state::opening);
+    set_outstanding(now, it, true);
+    if (oldest_unanswered_ == instant{})
+        oldest_unanswered_ = now;
+    sink.log({.number = packet_event::opening_taken,
+        .flow = message.flow,
+        .peer = from,
+        .version = message.route_version,
+        .value = static_cast<std::int64_t>(open_),
+        .age_ms = message.age_ms});
+    sink.send_backend(bytes);
+}
+
+template <packet_sink Sink>
+void packet_agent::enqueue(instant now, endpoint from,
+    agent_packet const& message, flow_packet const& packet, Sink& sink) {
+    auto const* route = view_.route_of(message.flow.service);
+    internal::queued_opening opening{.balancer = from,
+        .message = message,
+        .packet = {packet.bytes.begin(), packet.bytes.end()},
+        .begun = now - std::chrono::milliseconds(message.age_ms),
+        .goal = options_.usual_goal};
+    opening.message.packet = {};
+    if (route != nullptr && route->goal > duration{0}) {
+        opening.goal = route->goal;
+        opening.priority = route->priority;
+    }
+    auto const turn = service_time_ / std::max<std::size_t>(slots(), 1);
+    if (!queue_.push(now, std::move(opening), turn))
+        return decline(now, from, message, refusal::overloaded, sink);
+    sink.log({.number = packet_event::opening_queued,
+        .flow = message.flow,
+        .peer = from,
+        .version = message.route_version,
+        .value = static_cast<std::int64_t>(queue_.size()),
+        .age_ms = message.age_ms});
+    sink.send(from, make_report(agent_packet_kind::queued, message.flow));
+}
+
+// The limits are judged again: routes, drains and failure domains may have
+// changed since the opening was queued.
+template <packet_sink Sink>
+void packet_agent::serve_queue(instant now, Sink& sink) {
+    while (auto const it = queue_.pop_expired(now))
+        sink.log({.number = packet_event::opening_dropped,
+            .flow = it->message.flow,
+            .peer = it->balancer,
+            .why = refusal::overloaded,
+            .age_ms = (now - it->begun) / std::chrono::milliseconds(1)});
+    while (queue_.size() > 0 && in_progress_ < queue_limit()) {
+        auto it = queue_.pop(now, service_time_);
+        auto& message = it->message;
+        message.age_ms = static_cast<std::uint16_t>(
+            (now - it->begun) / std::chrono::milliseconds(1));
+        message.packet = it->packet;
+        auto const why = judge(now, message);
+        if (why == refusal::none)
+            take(now, it->balancer, message, it->packet, sink);
+        else
+            decline(now, it->balancer, message, why, sink);
     }
-    sink.send_backend(packet.bytes);
 }
 
 template <packet_sink Sink>
 void packet_agent::send_held(endpoint to, packet_flow const& flow,
     internal::held_flow const& it, Sink& sink) {
-    sink.send(to, {.kind = agent_packet_kind::held,
-                      .service = options_.service,
-                      .route_version = newest_routes_,
-                      .in_progress = static_cast<std::uint16_t>(in_progress_),
-                      .slots = static_cast<std::uint16_t>(slots()),
-                      .flows = static_cast<std::uint16_t>(open_),
-                      .handshake = it.handshake,
-                      .flow = flow});
+    auto answer = make_report(agent_packet_kind::held, flow);
+    answer.handshake = it.handshake;
+    sink.send(to, answer);
 }
 
 template <packet_sink Sink>
@@ -199,7 +252,7 @@
     auto& it = insert(now, flow);
     auto const was = it.state;
     bool const was_new = it.balancer == endpoint{};
-    set_outstanding(it, false);
+    set_outstanding(now, it, false);
     set_state(it, held_state::absent);
     if (was_new)
         return; // Nobody to tell; the caller's copy will find its way.
@@ -227,16 +280,23 @@
 template <packet_sink Sink>
 void packet_agent::handle_backend(
     instant now, flow_packet const& packet, Sink& sink) {
-    using internal::held_state;
     last_event_ = now;
-    last_backend_packet_ = now;
     oldest_unanswered_ = {};
     if (is_silent_) {
         is_silent_ = false;
         sink.log({.number = packet_event::backend_silent, .value = 0});
     }
     if (packet.is_returned)
-        return on_returned(now, packet, sink);
+        on_returned(now, packet, sink);
+    else
+        on_backend_packet(now, packet, sink);
+    serve_queue(now, sink);
+}
+
+template <packet_sink Sink>
+void packet_agent::on_backend_packet(
+    instant now, flow_packet const& packet, Sink& sink) {
+    using internal::held_state;
     auto const flow = packet.from_backend();
     auto& it = insert(now, flow);
     if (packet.is_opening_reply) {
@@ -274,6 +334,8 @@
 template <packet_sink Sink> void packet_agent::tick(instant now, Sink& sink) {
     check_pause(now, sink);
     view_.tick(now);
+    expire_unused(now);
+    serve_queue(now, sink);
     if (!is_silent_ && oldest_unanswered_ != instant{} &&
         now - oldest_unanswered_ >= options_.opening_limit) {
         is_silent_ = true;
@@ -288,6 +350,10 @@
 
 template <packet_sink Sink> void packet_agent::stop(instant now, Sink& sink) {
     constexpr auto heard_limit = std::chrono::seconds(10);
+    while (auto it = queue_.pop(now, service_time_)) {
+        it->message.packet = it->packet;
+        decline(now, it->balancer, it->message, refusal::draining, sink);
+    }
     for (auto const& [to, heard] : balancers_)
         if (now - heard < heard_limit)
             sink.send(to, {.kind = agent_packet_kind::leaving,
--- a/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace radishspread {
 
@@ -88,6 +89,7 @@
     }
     auto& it = entry->second;
     it.started = now;
+    it.begun = now - packet.opening_age;
     it.packet.assign(packet.bytes.begin(), packet.bytes.end());
     it.awaits_view = !is_ready();
     if (it.awaits_view)
@@ -100,7 +102,7 @@
 bool packet_balancer::begin(
     instant now, packet_flow const& flow, opening& it, Sink& sink) {
     it.awaits_view = false;
-    it.tried.clear();
+    it.start_over();
     it.service = view_.service_of(flow.service);
     if (it.service != 0)
         return place(now, flow, it, sink);
@@ -118,7 +120,9 @@
     auto const list = candidates(now, it);
     auto const* chosen =
         internal::choose_agent({list.data(), list.size()}, random_.next());
-    if (chosen == nullptr)
+    bool const is_busy =
+        it.least_loaded.is_set() && it.declines >= options_.max_declines;
+    if (chosen == nullptr || (is_busy && !it.is_forced))
         return give_up(now, flow, it, sink);
     send_open(now, flow, it, chosen->agent, sink);
     return true;
@@ -130,10 +134,12 @@
     it.tried.push_back(agent);
     it.agent = agent;
     it.answer_due = now + options_.answer_limit;
+    it.is_queued = false;
     loads_.sent(now, agent);
     auto message = make_open(
         now, flow, it.service, agent, {it.packet.data(), it.packet.size()});
     message.is_forced = it.is_forced;
+    message.age_ms = it.age_ms(now);
     sink.log({.number = it.tried.size() == 1 ? packet_event::opening_sent
                                              : packet_event::opening_passed_on,
         .flow = flow,
@@ -148,8 +154,11 @@
 void packet_balancer::repeat_open(
     instant now, packet_flow const& flow, opening& it, Sink& sink) {
     it.answer_due = now + options_.answer_limit;
-    sink.send(it.agent, make_open(now, flow, it.service, it.agent,
-                            {it.packet.data(), it.packet.size()}));
+    auto message = make_open(
+        now, flow, it.service, it.agent, {it.packet.data(), it.packet.size()});
+    message.is_forced = it.is_forced;
+    message.age_ms = it.age_ms(now);
+    sink.send(it.agent, message);
 }
 
 template <packet_sink Sink>
@@ -217,6 +226,8 @@
     }
     if (message.kind == agent_packet_kind::held) {
         on_held(now, from, message, sink);
+    } else if (message.kind == agent_packet_kind::queued) {
+        on_queued(now, from, message);
     } else if (message.kind == agent_packet_kind::declined) {
         on_declined(now, from, message, sink);
     } else if (message.kind == agent_packet_kind::not_held) {
@@ -256,7 +267,10 @@
         return;
     auto& it = found->second;
     it.last_refusal = message.why;
+    if (it.is_queued && it.agent == from)
+        it.leave_queue();
     if (message.why == refusal::overloaded) {
+        ++it.declines;
         auto const share = loads_.share(now, from, message.slots);
         if (!it.least_loaded.is_set() || share < it.least_share) {
             it.least_loaded = from;
@@ -279,14 +293,18 @@
 template <packet_sink Sink>
 bool packet_balancer::on_silence(
     instant now, packet_flow const& flow, opening& it, Sink& sink) {
+    if (it.is_queued)
+        it.leave_queue();
     it.has_silent_agent = true;
     it.last_refusal = refusal::unanswered;
-    if (loads_.missed(now, it.agent, options_.suspect_time))
+    bool const is_new_silence = !std::exchange(it.awaits_repeat, false);
+    if (is_new_silence && loads_.missed(now, it.agent, options_.suspect_time))
         sink.log({.number = packet_event::agent_suspect, .peer = it.agent});
     if (retries_.take())
         return place(now, flow, it, sink);
-    // Too few answers altogether: the caller's copy repeats the opening.
-    it.answer_due = instant::max();
+    // Too few answers altogether: more calls would not help before there are.
+    it.awaits_repeat = true;
+    it.answer_due = now + options_.repeat_pause;
     return true;
 }
 
@@ -295,7 +313,7 @@
     check_pause(now, sink);
     for (auto it = openings_.begin(); it != openings_.end();) {
         auto& [flow, entry] = *it;
-        bool is_over = now - entry.started >= options_.opening_limit;
+        bool is_over = now - entry.begun >= options_.opening_limit;
         if (is_over) {
             sink.log({.number = packet_event::opening_abandoned,
                 .flow = flow,
--- a/packages/core/include/radishspread/core/internal/rs_pending_opening.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_pending_opening.hpp
@@ -15,6 +15,7 @@
 struct opening_in_progress {
     std::uint32_t service = 0;
     instant started;
+    instant begun;      ///< When the caller sent its first copy.
     instant answer_due; ///< The agent asked last should have answered.
     endpoint agent;     ///< Asked last.
     boost::container::small_vector<endpoint, 8> tried;
@@ -22,9 +23,34 @@
     endpoint least_loaded; ///< Of the agents without a free slot.
     double least_share = 0;
     bool is_forced = false;
+    bool is_queued = false;        ///< At `agent`, which answers later.
+    bool awaits_repeat = false;    ///< All repetitions are used up for now.
     bool awaits_view = false;      ///< Goes on once newer routes were read.
     bool has_silent_agent = false; ///< One did not answer, and may yet take it.
     refusal last_refusal = refusal::none;
+    std::size_t declines = 0; ///< For lack of a free slot.
+
+    /// Forgets which agents have declined.
+    void start_over() {
+        tried.clear();
+        declines = 0;
+        is_forced = false;
+        least_loaded = {};
+    }
+
+    /// The opening has lost its place at `agent`; others may have free slots by
+    /// now.
+    void leave_queue() {
+        is_queued = false;
+        start_over();
+        tried.assign(1, agent);
+    }
+
+    /// Milliseconds since the caller's first copy.
+    [[nodiscard]] std::uint16_t age_ms(instant now) const {
+        return static_cast<std::uint16_t>(
+            (now - begun) / std::chrono::milliseconds(1));
+    }
 };
 
 } // namespace radishspread::internal
--- a/packages/core/include/radishspread/core/rs_agent_packet.hpp
+++ b/packages/core/include/radishspread/core/rs_agent_packet.hpp
@@ -19,8 +19,13 @@
     declined, ///< To the balancer: opening not taken; contains the packet.
     not_held, ///< To the balancer: flow not here; contains the packet.
     leaving,  ///< To the balancer: the agent stops; no openings any more.
+    queued,   ///< To the balancer: the opening waits for a free slot.
 };
 
+/// Largest value, for decoders.
+inline constexpr agent_packet_kind last_agent_packet_kind =
+    agent_packet_kind::queued;
+
 /// `agent_packet::cold_rate` of one opening a second.
 inline constexpr std::uint16_t cold_rate_units = 16;
 
@@ -28,7 +33,7 @@
 struct agent_packet {
     agent_packet_kind kind = agent_packet_kind::carry;
     refusal why = refusal::none; ///< `declined`.
-    /// `open`: must be taken even without a free slot, if it can be queued.
+    /// `open`: to be queued if there is no free slot.
     bool is_forced = false;
     /// `open`: the balancer's view has the backend server as cold.
     bool is_cold = false;
@@ -39,10 +44,13 @@
     /// `open`: openings a second that a cold backend server takes, in
     /// `cold_rate_units`.
     std::uint16_t cold_rate = 0;
-    /// `held`, `declined`: requests at the backend server without a response.
+    /// `held`, `declined`, `queued`: requests at the backend server without a
+    /// response, and openings that wait for it.
     std::uint16_t in_progress = 0;
     std::uint16_t slots = 0; ///< Of the backend server; 0 if unknown.
-    std::uint16_t flows = 0; ///< `held`, `declined`: flows open.
+    std::uint16_t flows = 0; ///< `held`, `declined`, `queued`: flows open.
+    /// `open`: milliseconds since the caller's first copy.
+    std::uint16_t age_ms = 0;
     /// `held`: first sequence number of the backend server, 0 if unknown;
     /// `locate`: what the caller acknowledges.
     std::uint32_t handshake = 0;
--- a/packages/core/include/radishspread/core/rs_fleet_change.hpp
+++ b/packages/core/include/radishspread/core/rs_fleet_change.hpp
@@ -21,6 +21,8 @@
 struct route_entry {
     endpoint address;
     std::uint32_t service = 0; ///< `name_tag` of the service.
+    duration goal{0}; ///< Response time that serves a caller in full; 0: none.
+    std::uint8_t priority = 0; ///< Of its requests; 0 is the most urgent.
 };
 
 /// How fast a cold backend server of a service may be given flows.
--- a/packages/core/include/radishspread/core/rs_fleet_view.hpp
+++ b/packages/core/include/radishspread/core/rs_fleet_view.hpp
@@ -52,6 +52,8 @@
     /// Forgets backend servers that are gone for long.
     void tick(instant now);
 
+    /// Route of the flows to `address`, or null.
+    [[nodiscard]] route_entry const* route_of(endpoint address) const;
     /// Tag of the service that flows to `address` open at; 0 if none.
     [[nodiscard]] std::uint32_t service_of(endpoint address) const;
     /// True once routes were read.
@@ -94,7 +96,7 @@
     std::vector<member const*> all_;
     std::map<std::string, std::uint32_t, std::less<>> domains_out_;
     std::map<std::uint32_t, instant> returned_;
-    std::map<endpoint, std::uint32_t> routes_;
+    std::map<endpoint, route_entry> routes_;
     std::vector<service_warmup> warmups_;
     std::string routes_name_; ///< Item that the routes come from.
     std::uint64_t version_ = 0;
--- a/packages/core/include/radishspread/core/rs_flow_packet.hpp
+++ b/packages/core/include/radishspread/core/rs_flow_packet.hpp
@@ -3,6 +3,7 @@
 
 #include <radishspread/core/rs_endpoint.hpp>
 #include <radishspread/core/rs_packet_flow.hpp>
+#include <radishspread/core/rs_time.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -15,14 +16,16 @@
 struct flow_packet {
     endpoint source;
     endpoint destination;
-    bool is_opening = false;       ///< First packet of a flow, or a copy.
+    bool is_opening = false; ///< First packet of a flow, or a copy.
+    /// Of an opening: time since the caller sent its first copy.
+    duration opening_age{0};
     bool is_opening_reply = false; ///< The backend server takes the flow.
     bool is_acknowledging = false;
     bool is_finish = false;
     bool is_reset = false;
     bool is_returned = false; ///< The backend server did not take it.
     std::uint32_t sequence = 0;
-    /// Next byte expected from the other end; of an opening, its copy number.
+    /// Next byte expected from the other end.
     std::uint32_t acknowledged = 0;
     std::uint16_t payload_size = 0;
     std::span<std::byte const> bytes; ///< The whole datagram.
--- a/packages/core/include/radishspread/core/rs_packet_agent.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_agent.hpp
@@ -2,6 +2,7 @@
 #define RADISHSPREAD_CORE_RS_PACKET_AGENT_HPP
 
 #include <radishspread/core/internal/rs_held_flow.hpp>
+#include <radishspread/core/internal/rs_opening_queue.hpp>
 #include <radishspread/core/internal/rs_rate_window.hpp>
 #include <radishspread/core/rs_fleet_view.hpp>
 #include <radishspread/core/rs_flow_packet.hpp>
@@ -54,6 +55,8 @@
     [[nodiscard]] fleet_view const& view() const { return view_; }
     [[nodiscard]] std::size_t flows() const { return open_; }
     [[nodiscard]] std::size_t in_progress() const { return in_progress_; }
+    /// Openings that wait for a free slot.
+    [[nodiscard]] std::size_t queued() const { return queue_.size(); }
 
 private:
     using flow_table =
@@ -62,6 +65,15 @@
     template <packet_sink Sink>
     void on_open(instant now, endpoint from, agent_packet const& message,
         flow_packet const& packet, Sink& sink);
+    /// Passes the opening to the backend server.
+    template <packet_sink Sink>
+    void take(instant now, endpoint from, agent_packet const& message,
+        std::span<std::byte const> bytes, Sink& sink);
+    template <packet_sink Sink>
+    void enqueue(instant now, endpoint from, agent_packet const& message,
+        flow_packet const& packet, Sink& sink);
+    /// Gives free slots to queued openings.
+    template <packet_sink Sink> void serve_queue(instant now, Sink& sink);
     template <packet_sink Sink>
     void on_locate(
         instant now, endpoint from, agent_packet const& message, Sink& sink);
@@ -69,6 +81,8 @@
     void on_packet(instant now, endpoint from, agent_packet const& message,
         flow_packet const& packet, Sink& sink);
     template <packet_sink Sink>
+    void on_backend_packet(instant now, flow_packet const& packet, Sink& sink);
+    template <packet_sink Sink>
     void on_returned(instant now, flow_packet const& packet, Sink& sink);
     template <packet_sink Sink>
     void decline(instant now, endpoint to, agent_packet const& message,
@@ -84,8 +98,15 @@
     [[nodiscard]] refusal judge(instant now, agent_packet const& message);
     [[nodiscard]] bool is_cold(instant now, agent_packet const& message) const;
     [[nodiscard]] std::size_t slots() const;
+    /// Openings in progress up to which a queued one is served.
+    [[nodiscard]] std::size_t queue_limit() const;
+    /// Message of this kind with the load of the backend server.
+    [[nodiscard]] agent_packet make_report(
+        agent_packet_kind kind, packet_flow const& flow) const;
     void set_state(internal::held_flow& it, internal::held_state value);
-    void set_outstanding(internal::held_flow& it, bool value);
+    void set_outstanding(instant now, internal::held_flow& it, bool value);
+    /// The backend server has responded.
+    void note_response(instant now, internal::held_flow& it);
     void note_caller_packet(
         instant now, internal::held_flow& it, flow_packet const& packet);
     void note_backend_packet(
@@ -113,8 +134,9 @@
     bool has_read_ = false;
     bool was_first_ = false; ///< Started before the announcement was seen.
     bool knows_all_flows_ = false;
+    internal::opening_queue queue_;
+    duration service_time_; ///< Usual time to a response.
     instant last_event_;
-    instant last_backend_packet_;
     instant oldest_unanswered_; ///< Opening without a reply; default: none.
     bool is_silent_ = false;
     instant next_trial_;
--- a/packages/core/include/radishspread/core/rs_packet_agent_options.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_agent_options.hpp
@@ -24,14 +24,18 @@
     duration request_limit = std::chrono::seconds(5);
     /// An opening holds a slot for this long, unless the caller sends data: it
     /// may have taken the offer of another backend server.
-    duration unused_limit = std::chrono::milliseconds(250);
+    duration unused_limit = std::chrono::milliseconds(50);
     /// An opening without a reply for this long counts against the backend
     /// server.
     duration opening_limit = std::chrono::milliseconds(100);
-    /// Openings in progress beyond the slots that a forced opening may use, as
-    /// a multiple of the slots. A longer queue would answer all of a backlog
-    /// late instead of most of it in time.
-    std::size_t queue_factor = 1;
+    /// Share of the slots by which openings from the queue may exceed them, at
+    /// least one: keeps the slots busy while the request of a flow that has
+    /// just opened is on its way.
+    double overcommit = 0.25;
+    /// A caller gives up an opening this long after its first copy.
+    duration attempt_limit = std::chrono::milliseconds(1350);
+    /// Goal for the response time of a route that names none.
+    duration usual_goal = std::chrono::milliseconds(200);
     /// A gap this long between two events means that the process was paused.
     duration pause_limit = std::chrono::seconds(1);
     /// For this long after its failure domain came back, a backend server with
--- a/packages/core/include/radishspread/core/rs_packet_balancer.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_balancer.hpp
@@ -115,6 +115,7 @@
     template <packet_sink Sink>
     void on_held(
         instant now, endpoint from, agent_packet const& message, Sink& sink);
+    void on_queued(instant now, endpoint from, agent_packet const& message);
     template <packet_sink Sink>
     void on_declined(
         instant now, endpoint from, agent_packet const& message, Sink& sink);
--- a/packages/core/include/radishspread/core/rs_packet_balancer_options.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_balancer_options.hpp
@@ -17,8 +17,13 @@
     duration idle_limit = std::chrono::seconds(60);
     /// An agent that has not answered an opening for this long is passed over.
     duration answer_limit = std::chrono::milliseconds(40);
-    /// The caller gives up an opening after about this time.
-    duration opening_limit = std::chrono::milliseconds(1200);
+    /// A caller gives up an opening this long after its first copy.
+    duration opening_limit = std::chrono::milliseconds(1400);
+    /// Agents without a free slot that an opening asks before it is queued.
+    std::size_t max_declines = 4;
+    /// Pause of an opening that no agent answers when its repetitions are used
+    /// up.
+    duration repeat_pause = std::chrono::milliseconds(50);
     /// Time for which an agent that does not answer is passed over.
     duration suspect_time = std::chrono::seconds(2);
     /// Time for which a leaving agent is passed over: its restart.
--- a/packages/core/include/radishspread/core/rs_packet_events.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_events.hpp
@@ -33,6 +33,7 @@
 inline constexpr std::uint16_t flow_learned = 1626;
 inline constexpr std::uint16_t backend_silent = 1627;
 inline constexpr std::uint16_t backend_state = 1628;
+inline constexpr std::uint16_t opening_queued = 1629;
 inline constexpr std::uint16_t routes_applied = 1640;
 inline constexpr std::uint16_t member_changed = 1641;
 inline constexpr std::uint16_t domain_changed = 1642;
@@ -49,7 +50,7 @@
 inline constexpr std::uint16_t bad_packet = 1655;
 inline constexpr std::uint16_t listen_failed = 1656;
 inline constexpr std::uint16_t lines_left_out = 1657;
-inline constexpr std::size_t count = 38;
+inline constexpr std::size_t count = 39;
 
 } // namespace packet_event
 
@@ -63,7 +64,7 @@
         {packet_event::opening_refused, severity::info,
             "opening refused with a reset; value: agents tried"},
         {packet_event::opening_dropped, severity::info,
-            "opening dropped without an answer"},
+            "opening left the queue, its caller has given it up"},
         {packet_event::opening_abandoned, severity::warning,
             "no agent answered the opening; value: agents tried"},
         {packet_event::flow_sought, severity::info,
@@ -99,6 +100,8 @@
             "backend server does not answer openings"},
         {packet_event::backend_state, severity::info,
             "state of the backend server changed; value: 1 draining, 2 cold"},
+        {packet_event::opening_queued, severity::info,
+            "opening waits for a free slot; value: openings waiting"},
         {packet_event::routes_applied, severity::info,
             "routes in effect; value: routes"},
         {packet_event::member_changed, severity::info,
--- a/packages/core/src/rs_fleet_view.cpp
+++ b/packages/core/src/rs_fleet_view.cpp
@@ -34,7 +34,7 @@
     warmups_ = value.warmups;
     routes_.clear();
     for (auto const& it : value.routes)
-        routes_.emplace(it.address, it.service);
+        routes_.emplace(it.address, it);
 }
 
 void fleet_view::apply_member(
@@ -112,8 +112,8 @@
 
 route_set fleet_view::routes() const {
     route_set out{.version = version_, .warmups = warmups_};
-    for (auto const& [address, service] : routes_)
-        out.routes.push_back({.address = address, .service = service});
+    for (auto const& [address, route] : routes_)
+        out.routes.push_back(route);
     return out;
 }
 
@@ -145,9 +145,14 @@
     }
 }
 
-std::uint32_t fleet_view::service_of(endpoint address) const {
+route_entry const* fleet_view::route_of(endpoint address) const {
     auto const it = routes_.find(address);
-    return it == routes_.end() ? 0 : it->second;
+    return it == routes_.end() ? nullptr : &it->second;
+}
+
+std::uint32_t fleet_view::service_of(endpoint address) const {
+    auto const* route = route_of(address);
+    return route == nullptr ? 0 : route->service;
 }
 
 bool fleet_view::is_out(std::uint32_t domain) const {
--- /dev/null
+++ b/packages/core/src/rs_opening_queue.cpp
@@ -0,0 +1,65 @@
+#include <radishspread/core/internal/rs_opening_queue.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace radishspread::internal {
+
+namespace {
+
+/// True if `a` is served before `b`.
+bool goes_first(queued_opening const& a, queued_opening const& b, instant now,
+    duration service) {
+    auto const is_timely = [&](queued_opening const& it) {
+        return now - it.begun + service <= it.goal;
+    };
+    bool const a_is_timely = is_timely(a);
+    if (a_is_timely != is_timely(b))
+        return a_is_timely;
+    if (a.priority != b.priority)
+        return a.priority < b.priority;
+    // The newest of the timely ones has the most time for a slow response; of
+    // the late ones the oldest is closest to being given up.
+    return a_is_timely ? a.begun > b.begun : a.begun < b.begun;
+}
+
+} // namespace
+
+bool opening_queue::push(instant now, queued_opening opening, duration turn) {
+    auto const wait = turn * static_cast<duration::rep>(waiting_.size() + 1);
+    bool const is_too_late = now - opening.begun + wait >= attempt_limit_;
+    if (waiting_.size() >= max_size || is_too_late)
+        return false;
+    waiting_.push_back(std::move(opening));
+    return true;
+}
+
+std::optional<queued_opening> opening_queue::pop(
+    instant now, duration service) {
+    auto const first = std::min_element(
+        waiting_.begin(), waiting_.end(), [&](auto const& a, auto const& b) {
+            return goes_first(a, b, now, service);
+        });
+    return take(first);
+}
+
+std::optional<queued_opening> opening_queue::pop_expired(instant now) {
+    return take(std::find_if(waiting_.begin(), waiting_.end(),
+        [&](auto const& it) { return now - it.begun >= attempt_limit_; }));
+}
+
+std::optional<queued_opening> opening_queue::take(
+    std::vector<queued_opening>::iterator it) {
+    if (it == waiting_.end())
+        return std::nullopt;
+    std::optional<queued_opening> out(std::move(*it));
+    waiting_.erase(it);
+    return out;
+}
+
+bool opening_queue::contains(packet_flow const& flow) const {
+    return std::any_of(waiting_.begin(), waiting_.end(),
+        [&](auto const& it) { return it.message.flow == flow; });
+}
+
+} // namespace radishspread::internal
--- a/packages/core/src/rs_packet_agent.cpp
+++ b/packages/core/src/rs_packet_agent.cpp
@@ -1,6 +1,7 @@
 #include <radishspread/core/rs_packet_agent.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace radishspread {
 
@@ -12,6 +13,12 @@
 /// Interval at which a backend server that does not answer gets an opening.
 constexpr duration trial_interval = std::chrono::milliseconds(200);
 
+/// Assumed until the backend server has responded.
+constexpr duration first_service_time = std::chrono::milliseconds(50);
+
+/// Weight of one response in the usual time to a response.
+constexpr int service_time_weight = 16;
+
 /// A backend server and its agent start together, in any order.
 constexpr std::uint64_t start_tolerance_ms = 1000;
 
@@ -21,13 +28,35 @@
 
 } // namespace
 
-packet_agent::packet_agent(packet_agent_options options) : options_(options) {}
+packet_agent::packet_agent(packet_agent_options options)
+    : options_(options), queue_(options.attempt_limit),
+      service_time_(first_service_time) {}
 
 std::size_t packet_agent::slots() const {
     auto const* self = view_.find(options_.backend);
     return self == nullptr ? told_slots_ : self->slots;
 }
 
+std::size_t packet_agent::queue_limit() const {
+    auto const n = slots();
+    if (n == 0)
+        return std::numeric_limits<std::size_t>::max();
+    return n + std::max<std::size_t>(
+                   1, static_cast<std::size_t>(
+                          options_.overcommit * static_cast<double>(n)));
+}
+
+agent_packet packet_agent::make_report(
+    agent_packet_kind kind, packet_flow const& flow) const {
+    return {.kind = kind,
+        .service = options_.service,
+        .route_version = newest_routes_,
+        .in_progress = static_cast<std::uint16_t>(in_progress_ + queue_.size()),
+        .slots = static_cast<std::uint16_t>(slots()),
+        .flows = static_cast<std::uint16_t>(open_),
+        .flow = flow};
+}
+
 bool packet_agent::is_cold(instant now, agent_packet const& message) const {
     if (message.is_cold)
         return true;
@@ -65,8 +94,7 @@
         return refusal::unresponsive;
     told_slots_ = message.slots;
     auto const limit = slots();
-    auto const most =
-        message.is_forced ? limit * (1 + options_.queue_factor) : limit;
+    auto const most = message.is_forced ? queue_limit() : limit;
     if (limit != 0 && in_progress_ >= most)
         return refusal::overloaded;
     if (message.cold_rate != 0 && is_cold(now, message)) {
@@ -91,10 +119,19 @@
         ++open_;
 }
 
-void packet_agent::set_outstanding(held_flow& it, bool value) {
+void packet_agent::note_response(instant now, held_flow& it) {
+    if (it.is_outstanding)
+        service_time_ +=
+            (now - it.outstanding_since - service_time_) / service_time_weight;
+    set_outstanding(now, it, false);
+}
+
+void packet_agent::set_outstanding(instant now, held_flow& it, bool value) {
     if (it.is_outstanding == value)
         return;
     it.is_outstanding = value;
+    if (value)
+        it.outstanding_since = now;
     value ? ++in_progress_ : --in_progress_;
 }
 
@@ -113,7 +150,7 @@
            now - unused_.front().first >= options_.unused_limit) {
         auto const it = flows_.find(unused_.front().second);
         if (it != flows_.end() && !it->second.has_data)
-            set_outstanding(it->second, false);
+            set_outstanding(now, it->second, false);
         unused_.pop_front();
     }
 }
@@ -141,7 +178,7 @@
         auto const limit = it.state == held_state::ended ? options_.ended_limit
                                                          : options_.idle_limit;
         if (age >= options_.request_limit)
-            set_outstanding(it, false);
+            set_outstanding(now, it, false);
         if (age >= limit) {
             set_state(it, held_state::ended);
             entry = flows_.erase(entry);
@@ -158,11 +195,11 @@
         set_state(it, held_state::open);
     if (packet.payload_size > 0) {
         it.has_data = true;
-        set_outstanding(it, true);
+        set_outstanding(now, it, true);
     }
     it.caller_finished = it.caller_finished || packet.is_finish;
     if (packet.is_reset || (it.caller_finished && it.backend_finished)) {
-        set_outstanding(it, false);
+        set_outstanding(now, it, false);
         set_state(it, held_state::ended);
     }
 }
@@ -170,11 +207,13 @@
 void packet_agent::note_backend_packet(
     instant now, held_flow& it, flow_packet const& packet) {
     it.last_packet = now;
-    if (packet.payload_size > 0 || packet.is_finish || packet.is_reset)
-        set_outstanding(it, false);
+    if (packet.payload_size > 0)
+        note_response(now, it);
+    else if (packet.is_finish || packet.is_reset)
+        set_outstanding(now, it, false);
     it.backend_finished = it.backend_finished || packet.is_finish;
     if (packet.is_reset || (it.caller_finished && it.backend_finished)) {
-        set_outstanding(it, false);
+        set_outstanding(now, it, false);
         set_state(it, held_state::ended);
     }
 }
--- a/packages/core/src/rs_packet_balancer.cpp
+++ b/packages/core/src/rs_packet_balancer.cpp
@@ -76,6 +76,19 @@
         .packet = bytes};
 }
 
+// The agent answers again when the opening has its turn; the caller's copies
+// ask whether it still waits.
+void packet_balancer::on_queued(
+    instant now, endpoint from, agent_packet const& message) {
+    loads_.report(now, from, message);
+    retries_.answered();
+    auto const it = openings_.find(message.flow);
+    if (it == openings_.end() || it->second.agent != from)
+        return;
+    it->second.is_queued = true;
+    it->second.answer_due = instant::max();
+}
+
 void packet_balancer::note_agent(instant now, packet_flow const& flow,
     endpoint agent, std::uint32_t handshake) {
     auto const [found, is_new] = flows_.try_emplace(flow);
@@ -100,8 +113,7 @@
     for (auto const& [flow, it] : searches_)
         due = std::min(due, it.next_stage);
     for (auto const& [flow, it] : openings_)
-        due =
-            std::min({due, it.answer_due, it.started + options_.opening_limit});
+        due = std::min({due, it.answer_due, it.begun + options_.opening_limit});
     if (due == instant::max())
         return std::nullopt;
     return due;
--- /dev/null
+++ b/packages/core/tests/rs_opening_queue_test.cpp
@@ -0,0 +1,148 @@
+#include <radishspread/core/internal/rs_opening_queue.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace radishspread;
+using namespace radishspread::internal;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds attempt_limit{1350};
+constexpr milliseconds service{50};
+constexpr milliseconds goal{200};
+
+instant at(milliseconds since) {
+    return instant(std::chrono::hours(1)) + since;
+}
+
+queued_opening opening_of(
+    std::uint16_t port, milliseconds begun, std::uint8_t priority = 1) {
+    return {.message = {.flow = {.caller = {.address = 1, .port = port}}},
+        .begun = at(begun),
+        .goal = goal,
+        .priority = priority};
+}
+
+/// Order of arrival: what the queue is compared with.
+struct arrival_order {
+    std::deque<queued_opening> waiting;
+
+    void push(instant, queued_opening it, duration) {
+        waiting.push_back(std::move(it));
+    }
+    std::optional<queued_opening> pop(instant now, duration) {
+        while (!waiting.empty() && now - waiting.front().begun >= attempt_limit)
+            waiting.pop_front();
+        if (waiting.empty())
+            return std::nullopt;
+        auto out = waiting.front();
+        waiting.pop_front();
+        return out;
+    }
+};
+
+struct replay_result {
+    int in_goal = 0;
+    int late = 0;
+};
+
+/// The load of a power loss of 1.4 s: openings of that time arrive at once when
+/// the backend server is back, new ones at 80% of what it can take.
+template <class Queue> replay_result replay_backlog(Queue&& queue) {
+    constexpr milliseconds outage{1300};
+    constexpr milliseconds turn = service / 2; // Two slots.
+    constexpr milliseconds arrival_interval = turn * 5 / 4;
+    constexpr milliseconds end{4000};
+    std::uint16_t port = 0;
+    for (auto begun = -outage; begun < milliseconds(0);
+         begun += arrival_interval)
+        queue.push(at(milliseconds(0)), opening_of(++port, begun), turn);
+    replay_result out;
+    auto next_arrival = milliseconds(0);
+    for (auto now = milliseconds(0); now < end; now += turn) {
+        for (; next_arrival <= now; next_arrival += arrival_interval)
+            queue.push(at(now), opening_of(++port, next_arrival), turn);
+        auto const it = queue.pop(at(now), service);
+        if (!it)
+            continue;
+        bool const is_in_goal = at(now) + service - it->begun <= goal;
+        ++(is_in_goal ? out.in_goal : out.late);
+    }
+    return out;
+}
+
+} // namespace
+
+TEST_GROUP(opening_queue) {
+    opening_queue queue{attempt_limit};
+
+    std::uint16_t pop(milliseconds now) {
+        auto const it = queue.pop(at(now), service);
+        return it ? it->message.flow.caller.port : std::uint16_t{0};
+    }
+    bool push(queued_opening it, milliseconds now = milliseconds(0),
+        milliseconds turn = milliseconds(1)) {
+        return queue.push(at(now), std::move(it), turn);
+    }
+};
+
+TEST(opening_queue, timely_openings_go_first_and_the_newest_of_them) {
+    push(opening_of(1, milliseconds(-600)));
+    push(opening_of(2, milliseconds(-100)));
+    push(opening_of(3, milliseconds(-20)));
+    CHECK_EQUAL(3, pop(milliseconds(0)));
+    CHECK_EQUAL(2, pop(milliseconds(0)));
+    CHECK_EQUAL(1, pop(milliseconds(0)));
+    CHECK_EQUAL(0, pop(milliseconds(0)));
+}
+
+TEST(opening_queue, urgent_opening_goes_before_newer_ones) {
+    push(opening_of(1, milliseconds(-100), 0));
+    push(opening_of(2, milliseconds(-10), 2));
+    CHECK_EQUAL(1, pop(milliseconds(0)));
+}
+
+TEST(opening_queue, late_openings_follow_in_order_of_their_age) {
+    push(opening_of(1, milliseconds(-400)));
+    push(opening_of(2, milliseconds(-900)));
+    CHECK_EQUAL(2, pop(milliseconds(0)));
+}
+
+// Held until its caller gives up, an opening that cannot be served costs the
+// caller the time for a retry.
+TEST(opening_queue, opening_whose_turn_comes_too_late_is_not_queued) {
+    CHECK(push(opening_of(1, milliseconds(-1000)), {}, milliseconds(100)));
+    CHECK(push(opening_of(2, milliseconds(-1000)), {}, milliseconds(100)));
+    CHECK(push(opening_of(3, milliseconds(-1000)), {}, milliseconds(100)));
+    CHECK(!push(opening_of(4, milliseconds(-1000)), {}, milliseconds(100)));
+    CHECK(push(opening_of(5, milliseconds(0)), {}, milliseconds(100)));
+}
+
+TEST(opening_queue, opening_that_its_caller_gave_up_expires) {
+    push(opening_of(1, milliseconds(0)));
+    CHECK(!queue.pop_expired(at(milliseconds(1349))).has_value());
+    CHECK(queue.pop_expired(at(milliseconds(1350))).has_value());
+    CHECK_EQUAL(0, queue.size());
+}
+
+TEST(opening_queue, full_queue_takes_no_more) {
+    for (std::size_t n = 0; n != opening_queue::max_size; ++n)
+        push(opening_of(1, milliseconds(0)), {}, {});
+    CHECK(!push(opening_of(2, milliseconds(0)), {}, {}));
+}
+
+// In order of arrival, every opening of the first seconds after a power loss
+// was answered late, the new ones included.
+TEST(opening_queue, backlog_after_a_power_loss_delays_no_new_opening) {
+    auto const queued = replay_backlog(opening_queue(attempt_limit));
+    auto const in_order = replay_backlog(arrival_order{});
+    constexpr int new_openings = 128; // 4 s at one in 31.25 ms.
+    CHECK(queued.in_goal >= new_openings * 95 / 100);
+    CHECK(queued.in_goal > in_order.in_goal * 5 / 4);
+    CHECK(queued.late > 0);
+}
--- a/packages/core/tests/rs_packet_agent_test.cpp
+++ b/packages/core/tests/rs_packet_agent_test.cpp
@@ -63,6 +63,25 @@
             caller_packet_of(flow, acknowledged));
     }
 
+    /// An opening that every agent has declined before.
+    void force_open(packet_flow const& flow, int ms, std::uint16_t age_ms = 0) {
+        auto forced = message(agent_packet_kind::open, flow);
+        forced.is_forced = true;
+        forced.age_ms = age_ms;
+        pass(core, at(ms), balancer_one, forced, opening_packet(flow));
+    }
+
+    /// Takes all slots, with the one that queued openings may use on top.
+    void fill(int ms) {
+        for (std::uint16_t n = 101; n <= 103; ++n)
+            force_open(flow_of(n), ms);
+    }
+
+    /// The backend server responds on the flow, which frees its slot.
+    void respond(std::uint16_t port, int ms) {
+        core.handle_backend(at(ms), backend_packet_of(flow_of(port)), sink);
+    }
+
     refusal last_refusal() {
         return sink.sent.back().message.why;
     }
@@ -281,3 +300,90 @@
     open(flow_of(1), 100);
     CHECK_EQUAL(1, sink.to_backend);
 }
+
+// Refused at once, callers use up their retries within milliseconds of a short
+// overload.
+TEST(packet_agent, opening_without_free_slot_anywhere_is_queued_and_served) {
+    fill(0);
+    force_open(flow_of(1), 1);
+    CHECK_EQUAL(3, sink.to_backend);
+    CHECK(sink.sent.back().message.kind == agent_packet_kind::queued);
+    CHECK_EQUAL(4, sink.sent.back().message.in_progress);
+    respond(101, 20);
+    CHECK_EQUAL(4, sink.to_backend);
+    CHECK_EQUAL(0, core.queued());
+}
+
+// The caller's copy asks whether the opening still waits; served early, or
+// queued twice, it would take a slot of another.
+TEST(packet_agent, copy_of_a_queued_opening_only_confirms_it) {
+    fill(0);
+    force_open(flow_of(1), 1);
+    sink.clear();
+    force_open(flow_of(1), 30, 200);
+    CHECK_EQUAL(0, sink.to_backend);
+    CHECK_EQUAL(1, core.queued());
+    CHECK(sink.sent.back().message.kind == agent_packet_kind::queued);
+}
+
+// No opening may reach a draining backend server, however long it has waited.
+TEST(packet_agent, queued_opening_is_judged_again_at_its_turn) {
+    fill(0);
+    force_open(flow_of(1), 1);
+    auto change = announcement_of(1, 2);
+    std::get<backend_announcement>(change.content).is_draining = true;
+    core.view().apply(at(10), change);
+    sink.clear();
+    respond(101, 20);
+    CHECK_EQUAL(0, sink.to_backend);
+    CHECK(last_refusal() == refusal::draining);
+    CHECK_EQUAL(packet_bytes.size(), sink.sent.back().packet.size());
+}
+
+TEST(packet_agent, queued_opening_that_its_caller_gave_up_is_dropped) {
+    fill(0);
+    force_open(flow_of(1), 1, 600);
+    sink.clear();
+    core.tick(at(900), sink);
+    CHECK_EQUAL(0, core.queued());
+    CHECK_EQUAL(0, sink.to_backend);
+}
+
+// The goal of the route decides who can still be served in time.
+TEST(packet_agent, route_with_a_longer_goal_makes_its_opening_timely) {
+    auto change = routes_of(5, 8);
+    auto& routes = std::get<route_set>(change.content).routes;
+    routes[0].goal = std::chrono::milliseconds(1000);
+    core.view().apply(at(0), change);
+    fill(0);
+    force_open(flow_of(1), 1, 600);
+    auto other = flow_of(2);
+    other.service.port = 444; // No goal known.
+    force_open(other, 2, 600);
+    sink.clear();
+    respond(101, 20);
+    CHECK_EQUAL(1, sink.to_backend);
+    CHECK_EQUAL(1, core.queued());
+    sink.clear();
+    force_open(other, 21, 620);
+    CHECK(sink.sent.back().message.kind == agent_packet_kind::queued);
+}
+
+// Openings that wait at an agent which leaves go to others at once.
+TEST(packet_agent, stopping_agent_hands_its_queue_back) {
+    fill(0);
+    force_open(flow_of(1), 1);
+    sink.clear();
+    core.stop(at(2), sink);
+    CHECK_EQUAL(1, sink.count(agent_packet_kind::declined));
+    CHECK(sink.sent.front().message.why == refusal::draining);
+}
+
+// Half of the capacity after a power loss went to openings whose callers had
+// left: each held its slot for 250 ms, ten times a request's time.
+TEST(packet_agent, slot_of_an_unused_opening_is_free_after_some_round_trips) {
+    hold(flow_of(1), 0);
+    hold(flow_of(2), 0);
+    open(flow_of(3), 60);
+    CHECK_EQUAL(3, sink.to_backend);
+}
--- a/packages/core/tests/rs_packet_balancer_test.cpp
+++ b/packages/core/tests/rs_packet_balancer_test.cpp
@@ -68,6 +68,25 @@
             ms);
     }
 
+    void queue(endpoint agent, packet_flow const& flow, int ms) {
+        answer(agent,
+            {.kind = agent_packet_kind::queued,
+                .service = test_service,
+                .route_version = 5,
+                .in_progress = 3,
+                .slots = 2,
+                .flow = flow},
+            ms);
+    }
+
+    /// Lets every agent decline the opening; returns the one that it then asks
+    /// to queue it.
+    endpoint decline_all(packet_flow const& flow, int ms) {
+        for (int n = 0; n != 3; ++n)
+            decline(sink.sent.back().to, flow, refusal::overloaded, ms);
+        return sink.sent.back().to;
+    }
+
     void deny_all(packet_flow const& flow, int ms) {
         for (std::uint32_t n = 1; n <= 3; ++n)
             answer(agent_address(n),
@@ -328,3 +347,75 @@
     constexpr std::size_t rounds = 5;
     CHECK(sink.count(agent_packet_kind::locate) <= 3 * rounds);
 }
+
+// Asking others for an opening that waits at one agent would multiply the load
+// when it is highest.
+TEST(packet_balancer, queued_opening_is_not_sent_to_others) {
+    open(flow_of(1), 0);
+    queue(decline_all(flow_of(1), 1), flow_of(1), 2);
+    sink.clear();
+    for (int ms = 50; ms < 1300; ms += 50)
+        core.tick(at(ms), sink);
+    CHECK_EQUAL(0, sink.sent.size());
+    CHECK(sink.resets.empty());
+}
+
+TEST(packet_balancer, opening_queued_at_an_agent_that_died_goes_elsewhere) {
+    open(flow_of(1), 0);
+    auto const agent = decline_all(flow_of(1), 1);
+    queue(agent, flow_of(1), 2);
+    sink.clear();
+    core.handle_caller(at(200), opening_packet(flow_of(1)), sink);
+    CHECK(sink.sent.back().to == agent);
+    CHECK(sink.sent.back().message.is_forced);
+    for (int ms = 210; ms < 400; ms += 10)
+        core.tick(at(ms), sink);
+    CHECK(sink.events.end() != std::find(sink.events.begin(), sink.events.end(),
+                                   packet_event::opening_passed_on));
+}
+
+TEST(packet_balancer, opening_that_lost_its_place_is_placed_anew) {
+    open(flow_of(1), 0);
+    auto const agent = decline_all(flow_of(1), 1);
+    queue(agent, flow_of(1), 2);
+    sink.clear();
+    decline(agent, flow_of(1), refusal::draining, 20);
+    CHECK_EQUAL(1, sink.count(agent_packet_kind::open));
+    CHECK(sink.sent.back().to != agent);
+    CHECK(!sink.sent.back().message.is_forced);
+}
+
+// The first agents that answer after a power loss do so before others have
+// started; waiting for the caller's copy cost 400 ms or the whole attempt.
+TEST(packet_balancer, opening_out_of_repetitions_goes_on_once_agents_answer) {
+    for (std::uint16_t n = 1; n <= 200; ++n)
+        core.handle_caller(at(0), opening_packet(flow_of(n)), sink);
+    for (int ms = 10; ms <= 300; ms += 10)
+        core.tick(at(ms), sink);
+    auto const before = sink.count(agent_packet_kind::open);
+    CHECK(before < 300);
+    for (std::uint16_t n = 1; n <= 100; ++n)
+        hold(agent_address(1), flow_of(n), 310);
+    for (int ms = 320; ms <= 400; ms += 10)
+        core.tick(at(ms), sink);
+    CHECK(sink.count(agent_packet_kind::open) > before);
+}
+
+// With 44 agents an opening in an overload was declined 44 times.
+TEST(packet_balancer, opening_asks_few_full_agents_before_it_is_queued) {
+    for (std::uint32_t n = 4; n <= 40; ++n)
+        core.view().apply(at(0), announcement_of(n, 1 + n));
+    open(flow_of(1), 0);
+    for (int n = 0; n != 40 && !sink.sent.back().message.is_forced; ++n)
+        decline(sink.sent.back().to, flow_of(1), refusal::overloaded, 1);
+    CHECK(sink.sent.size() <= packet_balancer_options{}.max_declines + 1);
+}
+
+TEST(packet_balancer, opening_tells_the_agent_how_old_it_is) {
+    auto copy = opening_packet(flow_of(1));
+    copy.opening_age = std::chrono::milliseconds(600);
+    core.handle_caller(at(0), copy, sink);
+    CHECK_EQUAL(600, sink.sent.back().message.age_ms);
+    decline(sink.sent.back().to, flow_of(1), refusal::overloaded, 30);
+    CHECK_EQUAL(630, sink.sent.back().message.age_ms);
+}
--- a/packages/wire/include/radishspread/wire/rs_agent_packet_codec.hpp
+++ b/packages/wire/include/radishspread/wire/rs_agent_packet_codec.hpp
@@ -11,7 +11,7 @@
 namespace radishspread::wire {
 
 /// Bytes in front of the packet of an `agent_packet`.
-inline constexpr std::size_t agent_packet_head_size = 40;
+inline constexpr std::size_t agent_packet_head_size = 44;
 
 /// Encodes the fields of a message; its packet follows unchanged.
 [[nodiscard]] std::array<std::byte, agent_packet_head_size>
--- a/packages/wire/src/rs_agent_packet_codec.cpp
+++ b/packages/wire/src/rs_agent_packet_codec.cpp
@@ -12,7 +12,7 @@
 using namespace boost::endian;
 
 /// First byte of each message: tells it from other datagrams, and its format.
-constexpr std::uint8_t format_mark = 0xb1;
+constexpr std::uint8_t format_mark = 0xb2;
 
 constexpr std::uint8_t forced_flag = 1;
 constexpr std::uint8_t cold_flag = 2;
@@ -35,6 +35,8 @@
     big_uint16_buf_t slots;
     big_uint16_buf_t flows;
     big_uint32_buf_t handshake;
+    big_uint16_buf_t age_ms;
+    big_uint16_buf_t reserved; ///< 0.
 };
 static_assert(sizeof(head) == agent_packet_head_size);
 
@@ -48,7 +50,7 @@
 bool is_valid(head const& it) {
     return it.mark == format_mark &&
            it.kind >= static_cast<std::uint8_t>(agent_packet_kind::open) &&
-           it.kind <= static_cast<std::uint8_t>(agent_packet_kind::leaving) &&
+           it.kind <= static_cast<std::uint8_t>(last_agent_packet_kind) &&
            it.why <= static_cast<std::uint8_t>(last_refusal);
 }
 
@@ -72,6 +74,8 @@
         .slots = big_uint16_buf_t(message.slots),
         .flows = big_uint16_buf_t(message.flows),
         .handshake = big_uint32_buf_t(message.handshake),
+        .age_ms = big_uint16_buf_t(message.age_ms),
+        .reserved = big_uint16_buf_t(0),
     };
     return std::bit_cast<std::array<std::byte, agent_packet_head_size>>(out);
 }
@@ -96,6 +100,7 @@
         .in_progress = in.in_progress.value(),
         .slots = in.slots.value(),
         .flows = in.flows.value(),
+        .age_ms = in.age_ms.value(),
         .handshake = in.handshake.value(),
         .flow = {.caller = {.address = in.caller_address.value(),
                      .port = in.caller_port.value()},
--- a/packages/wire/src/rs_item_codec.cpp
+++ b/packages/wire/src/rs_item_codec.cpp
@@ -33,6 +33,9 @@
         out.StartObject();
         write_endpoint(out, "address", it.address);
         write_number(out, "service", it.service);
+        write_number(out, "goal_ms",
+            static_cast<std::uint64_t>(it.goal.count()) / microseconds_per_ms);
+        write_number(out, "priority", it.priority);
         out.EndObject();
     }
     out.EndArray();
@@ -142,7 +145,9 @@
     route_set out{.version = from.number("version")};
     from.each("routes", [&](object_reader& it) {
         out.routes.push_back({.address = it.address("address"),
-            .service = static_cast<std::uint32_t>(it.number("service"))});
+            .service = static_cast<std::uint32_t>(it.number("service")),
+            .goal = read_ms(it, "goal_ms"),
+            .priority = static_cast<std::uint8_t>(it.number("priority"))});
     });
     from.each("warmups", [&](object_reader& it) {
         out.warmups.push_back(
--- a/packages/wire/tests/rs_agent_packet_codec_test.cpp
+++ b/packages/wire/tests/rs_agent_packet_codec_test.cpp
@@ -36,6 +36,7 @@
         .in_progress = 3,
         .slots = 7,
         .flows = 51,
+        .age_ms = 640,
         .handshake = 0xfffffff0,
         .flow = flow,
         .packet = payload};
@@ -53,6 +54,7 @@
     CHECK_EQUAL(message.in_progress, out->in_progress);
     CHECK_EQUAL(message.slots, out->slots);
     CHECK_EQUAL(message.flows, out->flows);
+    CHECK_EQUAL(message.age_ms, out->age_ms);
     CHECK_EQUAL(message.handshake, out->handshake);
     CHECK(out->flow == flow);
     CHECK(std::vector<std::byte>(out->packet.begin(), out->packet.end()) ==
@@ -61,7 +63,8 @@
 
 TEST(agent_packet_codec, malformed_datagrams_are_refused) {
     auto bytes = encode(message);
-    CHECK(!wire::decode_agent_packet(std::span(bytes).first(39)));
+    CHECK(!wire::decode_agent_packet(
+        std::span(bytes).first(wire::agent_packet_head_size - 1)));
     for (std::size_t const offset : {0, 1, 2}) {
         auto bad = bytes;
         bad[offset] = std::byte{0xee};
@@ -70,25 +73,29 @@
 }
 
 TEST_GROUP(item_codec) {
-    item_page page{.changes = {{.name = "routes",
-                                   .revision = 4,
-                                   .content = route_set{.version = 9,
-                                       .routes = {{flow.service, 5}},
-                                       .warmups = {{.service = 5,
-                                           .period = std::chrono::seconds(2),
-                                           .openings_per_second = 2.5}}}},
-                       {.name = "backend \"1\"",
-                           .revision = 6,
-                           .content = backend_announcement{.service = 5,
-                               .domain = 8,
-                               .backend = flow.caller,
-                               .slots = 7,
-                               .is_draining = true,
-                               .warmup_left = std::chrono::milliseconds(40),
-                               .born = 1791906119026}},
-                       {.name = "out",
-                           .revision = 7,
-                           .content = domain_taken_out{.domain = 8}}},
+    item_page page{
+        .changes = {{.name = "routes",
+                        .revision = 4,
+                        .content = route_set{.version = 9,
+                            .routes = {{.address = flow.service,
+                                .service = 5,
+                                .goal = std::chrono::milliseconds(250),
+                                .priority = 2}},
+                            .warmups = {{.service = 5,
+                                .period = std::chrono::seconds(2),
+                                .openings_per_second = 2.5}}}},
+            {.name = "backend \"1\"",
+                .revision = 6,
+                .content = backend_announcement{.service = 5,
+                    .domain = 8,
+                    .backend = flow.caller,
+                    .slots = 7,
+                    .is_draining = true,
+                    .warmup_left = std::chrono::milliseconds(40),
+                    .born = 1791906119026}},
+            {.name = "out",
+                .revision = 7,
+                .content = domain_taken_out{.domain = 8}}},
         .as_of = 12};
 };
 
@@ -101,6 +108,8 @@
     auto const routes = std::get<route_set>(out->changes[0].content);
     CHECK_EQUAL(9, routes.version);
     CHECK(routes.routes.at(0).address == flow.service);
+    CHECK(routes.routes.at(0).goal == std::chrono::milliseconds(250));
+    CHECK_EQUAL(2, routes.routes.at(0).priority);
     DOUBLES_EQUAL(2.5, routes.warmups.at(0).openings_per_second, 0);
     auto const backend =
         std::get<backend_announcement>(out->changes[1].content);
