--- a/packages/core/include/radishspread/core/internal/rs_flow_search.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_flow_search.hpp
@@ -38,6 +38,8 @@
     instant repeat;     ///< Earliest time at which a packet starts it again.
     unsigned repeat_factor = 1;
     instant denied_at; ///< All agents asked first denied it; default: not yet.
+    bool is_confirmed = false;      ///< A read that began after that has ended.
+    bool is_final = false;          ///< Agents were last asked after that read.
     std::uint32_t acknowledged = 0; ///< Of the caller's last packet.
     boost::container::small_vector<endpoint, 16> unanswered;
     /// Packets that arrived meanwhile, the oldest first.
--- a/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
@@ -41,10 +41,13 @@
             entry.awaits_view && !begin(now, it->first, entry, sink);
         it = is_over ? openings_.erase(it) : std::next(it);
     }
-    for (auto& [flow, it] : searches_)
-        if (it.denied_at != instant{} && it.denied_at < read_started &&
-            it.unanswered.empty())
+    for (auto& [flow, it] : searches_) {
+        if (it.denied_at == instant{} || it.denied_at >= read_started)
+            continue;
+        it.is_confirmed = true;
+        if (it.unanswered.empty())
             ask(now, flow, it, sink);
+    }
 }
 
 template <packet_sink Sink>
--- a/packages/core/include/radishspread/core/internal/rs_packet_search_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_search_impl.hpp
@@ -33,6 +33,7 @@
     it.repeat = now + options_.search_interval * it.repeat_factor;
     it.next_stage = instant::max();
     it.unanswered.clear();
+    it.is_final = it.is_confirmed;
     if (search_rate_.count(now) >= options_.max_search_datagrams)
         return;
     std::size_t asked = 0;
@@ -114,6 +115,10 @@
         it.denied_at = now;
         return sink.refresh_members();
     }
+    if (!it.is_confirmed)
+        return; // The read is still to come.
+    if (!it.is_final)
+        return ask(now, flow, it, sink);
     sink.log({.number = packet_event::flow_reset,
         .flow = flow,
         .why = refusal::not_held,
--- a/packages/core/include/radishspread/core/rs_item_follower.hpp
+++ b/packages/core/include/radishspread/core/rs_item_follower.hpp
@@ -31,7 +31,7 @@
     std::string prefix; ///< Names of the items followed begin with it.
     duration wait = std::chrono::milliseconds(2500);
     duration read_limit = std::chrono::milliseconds(1500);
-    duration peer_limit = std::chrono::milliseconds(500);
+    duration peer_limit = std::chrono::milliseconds(1500);
     /// Beyond `wait`, after which a watch without an answer has failed.
     duration watch_grace = std::chrono::milliseconds(1000);
     /// Changes that follow each other are collected for this long: each watch
@@ -66,8 +66,13 @@
     /// per `restart_interval`. True if the driver should drop its call.
     bool restart(instant now);
 
-    /// The process at `peer` is ahead: asks it next, at most once per
-    /// `restart_interval`. True if the driver should drop its call.
+    /// Reads everything again, in a read that begins after `now`. A read that
+    /// is outstanding ends first: dropped each time, a slow one would never
+    /// end. True if the driver should drop its call.
+    bool reread(instant now);
+
+    /// The process at `peer` is ahead: asks it next, unless a peer is being
+    /// asked already. True if the driver should drop its call.
     bool catch_up(instant now, endpoint peer);
 
     [[nodiscard]] instant due() const { return due_; }
@@ -95,6 +100,7 @@
     bool is_watching_ = false; ///< The next or outstanding call is a watch.
     bool is_outstanding_ = false;
     bool is_complete_ = false;
+    bool wants_read_ = false; ///< Another read after the outstanding one.
     instant due_;
     instant read_started_;
     instant complete_since_;
@@ -103,7 +109,6 @@
     unsigned failures_ = 0;
     endpoint peer_;  ///< Of the outstanding call; unset: the service.
     endpoint ahead_; ///< To be asked next.
-    instant caught_up_at_;
     std::string after_name_;
     revision read_from_ = 0; ///< Revision of the first page of the read.
     revision after_ = 0;
--- a/packages/core/src/rs_item_follower.cpp
+++ b/packages/core/src/rs_item_follower.cpp
@@ -90,7 +90,7 @@
     }
     view.finish_read(now, options_.prefix, names_, read_from_);
     is_complete_ = true;
-    is_watching_ = true;
+    is_watching_ = !std::exchange(wants_read_, false);
     after_ = std::max(after_, read_from_);
     complete_since_ = read_started_;
     begin_read(now);
@@ -127,9 +127,8 @@
 }
 
 bool item_follower::catch_up(instant now, endpoint peer) {
-    if (caught_up_at_ != instant{} && now - caught_up_at_ < restart_interval)
+    if (is_outstanding_ && peer_.is_set())
         return false;
-    caught_up_at_ = now;
     ahead_ = peer;
     is_outstanding_ = false;
     if (!is_watching_)
@@ -138,6 +137,25 @@
     return true;
 }
 
+bool item_follower::reread(instant now) {
+    bool const asks_peer = is_outstanding_ && peer_.is_set();
+    bool const is_reading = !is_watching_ && ((is_outstanding_ && !asks_peer) ||
+                                                 !after_name_.empty());
+    if (is_reading) {
+        wants_read_ = true;
+        return false;
+    }
+    is_watching_ = false;
+    if (asks_peer)
+        return false; // The read follows its answer.
+    bool const drops_watch = std::exchange(is_outstanding_, false);
+    if (drops_watch)
+        begin_read(now);
+    else if (failures_ == 0)
+        due_ = now;
+    return drops_watch;
+}
+
 bool item_follower::restart(instant now) {
     if (restarted_at_ != instant{} && now - restarted_at_ < restart_interval)
         return false;
--- a/packages/core/tests/rs_item_follower_test.cpp
+++ b/packages/core/tests/rs_item_follower_test.cpp
@@ -126,3 +126,39 @@
     CHECK(view.is_eligible(at(6000), *member));
     CHECK(!view.is_eligible(at(8000), *member));
 }
+
+// On a link of 10 Mbit/s the routes of a large edit take longer than the next
+// answer of an agent that is ahead; dropped each time, they were never read.
+TEST(item_follower, catching_up_ends_before_another_peer_is_asked) {
+    complete(0);
+    CHECK(core.take_call(at(1)).has_value());
+    CHECK(core.catch_up(at(500), peer_two));
+    CHECK(core.take_call(at(500)).has_value());
+    for (int ms = 600; ms < 1900; ms += 100)
+        CHECK(!core.catch_up(at(ms), peer_one));
+    core.handle_page(at(1900), page({announcement_of(2, 12)}, 12), view);
+    CHECK_EQUAL(12, core.as_of());
+    CHECK(core.catch_up(at(1901), peer_one));
+}
+
+// Searches ask for a fresh read every few milliseconds after a power loss; each
+// dropped the read before it.
+TEST(item_follower, read_ends_before_another_one_begins) {
+    CHECK(core.take_call(at(0)).has_value());
+    CHECK(!core.reread(at(50)));
+    CHECK(!core.reread(at(200)));
+    core.handle_page(at(300), page({announcement_of(1, 4)}, 10), view);
+    CHECK(core.is_complete());
+    auto const next = core.take_call(at(300));
+    CHECK(!next->is_watch);
+    core.handle_page(at(350), page({announcement_of(1, 4)}, 10), view);
+    CHECK(core.read_started() == at(300));
+    CHECK(core.take_call(at(350))->is_watch);
+}
+
+TEST(item_follower, fresh_read_replaces_the_watch) {
+    complete(0);
+    CHECK(core.take_call(at(1))->is_watch);
+    CHECK(core.reread(at(100)));
+    CHECK(!core.take_call(at(100))->is_watch);
+}
--- a/packages/core/tests/rs_packet_balancer_test.cpp
+++ b/packages/core/tests/rs_packet_balancer_test.cpp
@@ -419,3 +419,34 @@
     decline(sink.sent.back().to, flow_of(1), refusal::overloaded, 30);
     CHECK_EQUAL(630, sink.sent.back().message.age_ms);
 }
+
+// The caller repeats its packet while the read is under way. A balancer with an
+// old view took that second denial for the final one and reset a flow that a
+// backend server it had not heard of was serving.
+TEST(packet_balancer, denied_flow_is_not_reset_before_the_read_has_ended) {
+    core.handle_caller(at(0), caller_packet_of(flow_of(1), 7), sink);
+    core.tick(at(20), sink);
+    deny_all(flow_of(1), 22);
+    core.handle_caller(at(300), caller_packet_of(flow_of(1), 7), sink);
+    deny_all(flow_of(1), 302);
+    CHECK(sink.resets.empty());
+    core.view().apply(at(390), announcement_of(4, 9));
+    sink.clear();
+    core.view_confirmed(at(400), at(23), sink);
+    CHECK_EQUAL(4, sink.count(agent_packet_kind::locate));
+}
+
+// The same if the agents were asked before the read ended and answer after it.
+TEST(packet_balancer, answers_to_an_earlier_question_are_not_final) {
+    core.handle_caller(at(0), caller_packet_of(flow_of(1), 7), sink);
+    core.tick(at(20), sink);
+    deny_all(flow_of(1), 22);
+    core.handle_caller(at(300), caller_packet_of(flow_of(1), 7), sink);
+    core.view_confirmed(at(301), at(23), sink);
+    sink.clear();
+    deny_all(flow_of(1), 302);
+    CHECK(sink.resets.empty());
+    CHECK_EQUAL(3, sink.count(agent_packet_kind::locate));
+    deny_all(flow_of(1), 304);
+    CHECK_EQUAL(1, sink.resets.size());
+}
--- a/packages/runtime/include/radishspread/runtime/rs_item_source.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_item_source.hpp
@@ -50,6 +50,12 @@
             ++call_id_;
     }
 
+    /// Reads everything again after an outstanding read.
+    void reread(instant now) {
+        if (follower_.reread(now))
+            ++call_id_;
+    }
+
     /// Asks the process at `peer`, which is ahead.
     void catch_up(instant now, endpoint peer) {
         if (follower_.catch_up(now, peer))
--- a/packages/runtime/include/radishspread/runtime/rs_packet_agent_process.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_agent_process.hpp
@@ -56,7 +56,7 @@
         send_caller(flow, Platform::encode_reset(flow, sequence));
     }
     void refresh_view() { sources_.restart(shell_.now()); }
-    void refresh_members() { sources_.restart_members(shell_.now()); }
+    void refresh_members() { sources_.reread_members(shell_.now()); }
     void catch_up(endpoint ahead) { sources_.catch_up(shell_.now(), ahead); }
     void log(packet_log const& event) { shell_.log(event); }
 
--- a/packages/runtime/include/radishspread/runtime/rs_view_sources.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_view_sources.hpp
@@ -71,7 +71,7 @@
     }
 
     /// Reads the backend servers again.
-    void restart_members(instant now) { sources_.back()->restart(now); }
+    void reread_members(instant now) { sources_.back()->reread(now); }
 
     [[nodiscard]] bool is_complete() const {
         return std::all_of(sources_.begin(), sources_.end(),
