Changes of backend servers are collected for longer

Ruled out: narrower watches for agents (an agent is also a second source for balancers that the store turns away); reads that may be stale (a full list each second over links of 10 Mbit/s). Change: balancers collect changes of backend servers for 0.5 s (before 0.1), agents for 2.5 s (before 1.5). Routes and failure domains are unchanged. Test: item_follower changes_in_a_row_cost_a_call_for_each_collecting_delay.

--- a/packages/core/tests/rs_item_follower_test.cpp
+++ b/packages/core/tests/rs_item_follower_test.cpp
@@ -162,3 +162,24 @@
     CHECK(core.reread(at(100)));
     CHECK(!core.take_call(at(100))->is_watch);
 }
+
+// A release replaces backend servers one after the other, and every process
+// follows all announcements: each change cost a call of each process.
+TEST(item_follower, changes_in_a_row_cost_a_call_for_each_collecting_delay) {
+    item_follower slow{item_follower_options{
+        .prefix = "backend/", .collect = std::chrono::milliseconds(500)}};
+    slow.take_call(at(0));
+    slow.handle_page(at(1), page({}, 1), view);
+    int calls = 0;
+    revision changed = 1;
+    for (int ms = 2; ms < 10'000; ms += 100) {
+        ++changed; // Ten changes a second.
+        if (!slow.is_outstanding() && !slow.take_call(at(ms)))
+            continue;
+        ++calls;
+        slow.handle_page(
+            at(ms), page({announcement_of(1, changed)}, changed), view);
+    }
+    CHECK(calls <= 10'000 / 500 + 1);
+    CHECK(slow.as_of() + 5 >= changed);
+}
--- a/packages/runtime/include/radishspread/runtime/rs_packet_agent_process.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_agent_process.hpp
@@ -21,6 +21,7 @@
         : shell_(shell), core_(make_options(shell.settings())),
           sources_(shell, core_.view(), Platform::prefixes(),
               {.wait = watch_wait, .collect = collect, .seed = random_number()},
+              collect_members,
               [this](item_page const& page, bool) { view_changed(page); }) {
         sources_.serve();
     }
@@ -65,6 +66,8 @@
     // later and make fewer calls.
     static constexpr duration watch_wait = std::chrono::seconds(10);
     static constexpr duration collect = std::chrono::milliseconds(1500);
+    /// All but one of these changes are about other backend servers.
+    static constexpr duration collect_members = std::chrono::milliseconds(2500);
 
     static packet_agent_options make_options(
         config::packet_settings const& settings) {
--- a/packages/runtime/include/radishspread/runtime/rs_packet_balancer_process.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_balancer_process.hpp
@@ -18,7 +18,7 @@
     explicit packet_balancer_process(packet_shell& shell)
         : shell_(shell), core_(make_options(shell.settings())),
           sources_(shell, core_.view(), Platform::prefixes(),
-              {.seed = random_number()},
+              {.seed = random_number()}, collect_members,
               [this](item_page const& page, bool is_read) {
                   view_changed(page, is_read);
               }) {
@@ -56,6 +56,10 @@
     /// The fabric takes two missed polls to notice that this process leaves.
     static constexpr duration linger = std::chrono::milliseconds(1800);
 
+    /// An opening for a backend server that is leaving is declined by its agent
+    /// at the cost of a hop.
+    static constexpr duration collect_members = std::chrono::milliseconds(500);
+
     static packet_balancer_options make_options(
         config::packet_settings const& settings) {
         return {.domain = name_tag(settings.failure_domain),
--- a/packages/runtime/include/radishspread/runtime/rs_view_sources.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_view_sources.hpp
@@ -15,9 +15,11 @@
 /// Follows all items that a role needs, one follower for each prefix.
 template <packet_platform Platform> class view_sources {
 public:
+    /// Changes of backend servers are collected for `collect_members`; they are
+    /// the most frequent ones.
     view_sources(packet_shell& shell, fleet_view& view,
         std::vector<std::string> prefixes, item_follower_options options,
-        change_call const& changed)
+        duration collect_members, change_call const& changed)
         : shell_(shell), view_(view), prefixes_(std::move(prefixes)),
           client_({.service = shell.settings().configuration_service}) {
         auto const& settings = shell.settings();
@@ -26,6 +28,8 @@
                 options.peers.push_back(peer_at(it));
         for (std::size_t n = 0; n < prefixes_.size(); ++n) {
             options.prefix = prefixes_[n];
+            if (n + 1 == prefixes_.size())
+                options.collect = collect_members;
             ++options.seed;
             sources_.push_back(std::make_unique<source>(options, peer_path(n),
                 view, client_, settings.configuration_service, changed,
