Searches ask without the packet; a denial is final

One silent agent of a server that had left kept a flow from its reset for 7.5 s, and a caller's packet was needed to go on. Ruled out: delay between balancer and agent (median 10 ms). Change: all agents answer a question without the packet; those unsure get it. Denials are final, so the read before a reset adds new agents only. Silent agents are asked again by time. Agents whose backend server has started with them are sure. Gone servers need not deny after 2 s (5 before), draining ones whose agent is silent after 1.5 s.

--- a/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
@@ -49,19 +49,35 @@
 void packet_agent::on_locate(
     instant, endpoint from, agent_packet const& message, Sink& sink) {
     using internal::held_state;
+    if (message.kind != agent_packet_kind::locate)
+        return;
     auto const found = flows_.find(message.flow);
+    bool const is_known = found != flows_.end();
+    auto const state = is_known ? found->second.state : held_state::absent;
+    bool const is_other_offer = state == held_state::offered &&
+                                !found->second.matches(true, message.handshake);
     bool const is_ours =
-        found != flows_.end() &&
-        (found->second.state == held_state::open ||
-            (found->second.state == held_state::offered &&
-                found->second.matches(true, message.handshake)));
-    // Silence unless the flow is known to be here: the balancer asks on.
-    if (!is_ours || message.kind != agent_packet_kind::locate ||
-        message.service != options_.service)
+        message.service == options_.service && !is_other_offer &&
+        (state == held_state::open || state == held_state::offered ||
+            (state == held_state::ended && message.must_answer));
+    if (is_ours) {
+        found->second.balancer = from;
+        found->second.told = from;
+        return send_held(from, message.flow, found->second, sink);
+    }
+    // Silence spares the usual search, which finds the holder, most answers.
+    if (!message.must_answer)
         return;
-    found->second.balancer = from;
-    found->second.told = from;
-    send_held(from, message.flow, found->second, sink);
+    bool const is_denied = message.service != options_.service ||
+                           is_other_offer || knows_all_flows_ ||
+                           (is_known && state == held_state::absent);
+    sink.send(from, {.kind = agent_packet_kind::not_held,
+                        .why = refusal::not_held,
+                        .was_located = true,
+                        .is_unsure = !is_denied,
+                        .service = options_.service,
+                        .route_version = newest_routes_,
+                        .flow = message.flow});
 }
 
 template <packet_sink Sink>
@@ -117,6 +133,7 @@
     it.opened_at = now;
     it.told = {};
     it.has_data = false;
+    it.has_caller_end = false;
     unused_.emplace_back(now, message.flow);
     set_state(it, internal::held_state::opening);
     set_outstanding(now, it, true);
@@ -238,6 +255,7 @@
     auto& it = insert(now, message.flow);
     it.balancer = from;
     set_state(it, held_state::probed);
+    it.note_caller_bytes(packet.sequence + packet.payload_size);
     sink.log({.number = packet_event::flow_probed,
         .flow = message.flow,
         .peer = from});
--- a/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
@@ -41,13 +41,7 @@
             entry.awaits_view && !begin(now, it->first, entry, sink);
         it = is_over ? openings_.erase(it) : std::next(it);
     }
-    for (auto& [flow, it] : searches_) {
-        if (it.denied_at == instant{} || it.denied_at >= read_started)
-            continue;
-        it.is_confirmed = true;
-        if (it.unanswered.empty())
-            ask(now, flow, it, sink);
-    }
+    confirm_denials(now, read_started, sink);
 }
 
 template <packet_sink Sink>
@@ -328,12 +322,7 @@
         }
         it = is_over ? openings_.erase(it) : std::next(it);
     }
-    for (auto& [flow, it] : searches_) {
-        if (now < it.next_stage)
-            continue;
-        it.stage = internal::next(it.stage);
-        ask(now, flow, it, sink);
-    }
+    continue_searches(now, sink);
     if (now >= next_sweep_) {
         next_sweep_ = now + std::chrono::seconds(1);
         view_.tick(now);
--- a/packages/core/include/radishspread/core/internal/rs_packet_search_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_search_impl.hpp
@@ -4,6 +4,7 @@
 #include <radishspread/core/rs_packet_balancer.hpp>
 
 #include <algorithm>
+#include <iterator>
 
 namespace radishspread {
 
@@ -14,36 +15,33 @@
     auto const [found, is_new] = searches_.try_emplace(flow);
     auto& it = found->second;
     it.keep(packet);
-    if (!is_new && now < it.repeat)
-        return;
-    // A search that found nobody goes on with the stage that leaves no doubt.
-    if (is_new)
-        it.stage = internal::search_stage::near;
     it.service = service;
     it.started = now;
-    ask(now, flow, it, sink);
+    if (is_new)
+        ask(now, flow, it, sink);
 }
 
-// The early stages leave the packet out: with a large service and a narrow link
-// it would delay the flows that are found.
+// Questions leave the packet out: with a large service and a narrow link it
+// would delay the flows that are found.
 template <packet_sink Sink>
 void packet_balancer::ask(instant now, packet_flow const& flow,
     internal::flow_search& it, Sink& sink) {
     using internal::search_stage;
-    it.repeat = now + options_.search_interval * it.repeat_factor;
-    it.next_stage = instant::max();
-    it.unanswered.clear();
-    it.is_final = it.is_confirmed;
+    constexpr unsigned max_repeat_factor = 4;
+    it.next_ask = now + options_.search_interval * it.repeat_factor;
     if (search_rate_.count(now) >= options_.max_search_datagrams)
         return;
-    std::size_t asked = 0;
-    while ((asked = ask_stage(now, flow, it, sink)) == 0 &&
-           it.stage != search_stage::tried)
-        it.stage = internal::next(it.stage);
-    if (it.stage != search_stage::tried)
-        it.next_stage = now + options_.stage_limit;
+    auto asked = ask_stage(now, flow, it, sink);
+    if (asked == 0 && it.stage == search_stage::near) {
+        it.stage = search_stage::all;
+        asked = ask_stage(now, flow, it, sink);
+    }
+    if (it.stage == search_stage::all && it.asked_all_at == instant{})
+        it.asked_all_at = now;
+    if (it.stage == search_stage::near)
+        it.next_ask = now + options_.stage_limit;
     else
-        it.repeat_factor *= 2;
+        it.repeat_factor = std::min(it.repeat_factor * 2, max_repeat_factor);
     sink.log({.number = packet_event::flow_sought,
         .flow = flow,
         .version = view_.route_version(),
@@ -53,32 +51,23 @@
 template <packet_sink Sink>
 std::size_t packet_balancer::ask_stage(instant now, packet_flow const& flow,
     internal::flow_search& it, Sink& sink) {
-    using internal::search_stage;
-    bool const is_tried = it.stage == search_stage::tried;
-    agent_packet message{.kind = agent_packet_kind::locate,
+    bool const asks_all = it.stage == internal::search_stage::all;
+    agent_packet const message{.kind = agent_packet_kind::locate,
+        .must_answer = asks_all,
         .service = it.service,
         .route_version = view_.route_version(),
         .handshake = it.acknowledged,
         .flow = flow};
-    if (is_tried)
-        message.packet = it.kept.back();
     boost::container::small_vector<endpoint, 16> asked;
     for (auto const* member : view_.members_of(it.service)) {
         auto const agent = agent_of(*member);
-        bool const is_near = member->domain == options_.domain;
-        bool const is_in_stage =
-            is_tried || is_near == (it.stage == search_stage::near);
-        if (!is_in_stage ||
+        bool const is_in_stage = asks_all || member->domain == options_.domain;
+        if (!is_in_stage || it.was_denied_by(agent) ||
             std::find(asked.begin(), asked.end(), agent) != asked.end())
             continue;
         asked.push_back(agent);
         search_rate_.add(now);
         sink.send(agent, message);
-        // A backend server gone for long has left its flows.
-        bool const must_answer =
-            !member->is_gone || now - member->gone_at < options_.gone_grace;
-        if (is_tried && must_answer)
-            it.unanswered.push_back(agent);
     }
     return asked.size();
 }
@@ -90,9 +79,6 @@
     if (found == searches_.end())
         return;
     auto& it = found->second;
-    // The holder has the packet that was tried.
-    if (it.stage == internal::search_stage::tried)
-        it.kept.pop_back();
     for (auto const& packet : it.kept)
         sink.send(holder, {.kind = agent_packet_kind::carry,
                               .service = it.service,
@@ -102,36 +88,94 @@
     searches_.erase(found);
 }
 
-// A reset spares the caller the wait for its timeout. It is sent only if every
-// backend server of the service was asked and none holds the flow.
 template <packet_sink Sink>
 void packet_balancer::on_denied(
     instant now, endpoint from, packet_flow const& flow, Sink& sink) {
     auto const found = searches_.find(flow);
-    if (found == searches_.end() || !found->second.deny(from))
+    if (found == searches_.end() || found->second.was_denied_by(from))
         return;
     auto& it = found->second;
+    it.denied.push_back(from);
+    if (settle(now, flow, it, sink))
+        searches_.erase(found);
+}
+
+// A reset spares the caller the wait for its timeout.
+template <packet_sink Sink>
+bool packet_balancer::settle(instant now, packet_flow const& flow,
+    internal::flow_search& it, Sink& sink) {
+    if (it.denied.empty() || !is_denied_by_all(now, it))
+        return false;
     if (it.denied_at == instant{}) {
         it.denied_at = now;
-        return sink.refresh_members();
+        sink.refresh_members();
     }
     if (!it.is_confirmed)
-        return; // The read is still to come.
-    if (!it.is_final)
-        return ask(now, flow, it, sink);
+        return false; // The read is still to come.
     sink.log({.number = packet_event::flow_reset,
         .flow = flow,
         .why = refusal::not_held,
         .version = view_.route_version(),
+        .value = static_cast<std::int64_t>(it.denied.size()),
         .age_ms = (now - it.denied_at) / std::chrono::milliseconds(1)});
     sink.reset_caller(flow, it.acknowledged);
-    searches_.erase(found);
+    return true;
+}
+
+// Agents that the read has added are still to be asked; those that have denied
+// a flow are not.
+template <packet_sink Sink>
+void packet_balancer::confirm_denials(
+    instant now, instant read_started, Sink& sink) {
+    for (auto entry = searches_.begin(); entry != searches_.end();) {
+        auto& [flow, it] = *entry;
+        bool const is_newer =
+            it.denied_at != instant{} && it.denied_at < read_started;
+        it.is_confirmed = it.is_confirmed || is_newer;
+        bool const is_over = is_newer && settle(now, flow, it, sink);
+        if (is_newer && !is_over)
+            ask(now, flow, it, sink);
+        entry = is_over ? searches_.erase(entry) : std::next(entry);
+    }
+}
+
+// Asks those that have not answered again.
+template <packet_sink Sink>
+void packet_balancer::continue_searches(instant now, Sink& sink) {
+    for (auto entry = searches_.begin(); entry != searches_.end();) {
+        auto& [flow, it] = *entry;
+        bool const is_due = now >= it.next_ask;
+        bool const is_over = is_due && settle(now, flow, it, sink);
+        if (is_due && !is_over) {
+            it.stage = internal::search_stage::all;
+            ask(now, flow, it, sink);
+        }
+        entry = is_over ? searches_.erase(entry) : std::next(entry);
+    }
+}
+
+// Only the backend server can tell: one packet of the flow is tried there.
+template <packet_sink Sink>
+void packet_balancer::try_packet(
+    instant now, endpoint agent, packet_flow const& flow, Sink& sink) {
+    auto const found = searches_.find(flow);
+    if (found == searches_.end() || found->second.kept.empty())
+        return;
+    search_rate_.add(now);
+    sink.send(agent, {.kind = agent_packet_kind::locate,
+                         .service = found->second.service,
+                         .route_version = view_.route_version(),
+                         .handshake = found->second.acknowledged,
+                         .flow = flow,
+                         .packet = found->second.kept.back()});
 }
 
 template <packet_sink Sink>
 void packet_balancer::on_not_held(instant now, endpoint from,
     agent_packet const& message, flow_packet const* packet, Sink& sink) {
     loads_.heard(from);
+    if (message.is_unsure)
+        return try_packet(now, from, message.flow, sink);
     if (message.was_located)
         return on_denied(now, from, message.flow, sink);
     auto const it = flows_.find(message.flow);
--- a/packages/core/include/radishspread/core/rs_agent_packet.hpp
+++ b/packages/core/include/radishspread/core/rs_agent_packet.hpp
@@ -39,6 +39,10 @@
     bool is_cold = false;
     /// `not_held`: the packet was sent as `locate`; searching again is futile.
     bool was_located = false;
+    /// `locate` without a packet: whoever does not hold the flow says so too.
+    bool must_answer = false;
+    /// `not_held`: only a packet tried at the backend server would tell.
+    bool is_unsure = false;
     std::uint32_t service = 0;       ///< `service_tag` of the service.
     std::uint64_t route_version = 0; ///< Newest version of the routes known.
     /// `open`: openings a second that a cold backend server takes, in
--- a/packages/core/include/radishspread/core/rs_packet_agent.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_agent.hpp
@@ -132,7 +132,7 @@
     std::uint16_t told_slots_ = 0; ///< As the last balancer gave them.
     int reported_state_ = -1;
     bool has_read_ = false;
-    bool was_first_ = false; ///< Started before the announcement was seen.
+    std::uint64_t first_born_ = 0; ///< Start announced at the first read.
     bool knows_all_flows_ = false;
     internal::opening_queue queue_;
     duration service_time_; ///< Usual time to a response.
--- a/packages/core/include/radishspread/core/rs_packet_balancer.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_balancer.hpp
@@ -91,6 +91,19 @@
     template <packet_sink Sink>
     void on_denied(
         instant now, endpoint from, packet_flow const& flow, Sink& sink);
+    /// Resets the flow if no backend server holds it, as all agents have said.
+    /// True if the search is over.
+    template <packet_sink Sink>
+    bool settle(instant now, packet_flow const& flow, internal::flow_search& it,
+        Sink& sink);
+    template <packet_sink Sink> void continue_searches(instant now, Sink& sink);
+    /// A read of the configuration that began at `read_started` has ended.
+    template <packet_sink Sink>
+    void confirm_denials(instant now, instant read_started, Sink& sink);
+    /// Sends a packet of the flow to an agent that cannot tell otherwise.
+    template <packet_sink Sink>
+    void try_packet(
+        instant now, endpoint agent, packet_flow const& flow, Sink& sink);
     /// Finds the service of the opening and asks a first agent. Returns false
     /// if the opening ended.
     template <packet_sink Sink>
@@ -126,6 +139,8 @@
     [[nodiscard]] endpoint agent_of(fleet_view::member const& it) const;
     [[nodiscard]] internal::placement_candidates candidates(
         instant now, opening const& it) const;
+    [[nodiscard]] bool is_denied_by_all(
+        instant now, internal::flow_search const& it) const;
     [[nodiscard]] fleet_view::member const* find_member(endpoint agent) const;
     /// True if the flow's route still exists.
     [[nodiscard]] bool is_allowed(
--- a/packages/core/include/radishspread/core/rs_packet_balancer_options.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_balancer_options.hpp
@@ -41,7 +41,10 @@
     duration search_limit = std::chrono::seconds(3);
     /// A removed backend server may live on, its announcement lapsed; after
     /// this time its agent need not deny a flow any more.
-    duration gone_grace = std::chrono::seconds(5);
+    duration gone_grace = std::chrono::seconds(2);
+    /// A draining backend server whose agent does not answer for this long, a
+    /// restart several times over, has left.
+    duration leaving_silence = std::chrono::milliseconds(1500);
     duration pause_limit = std::chrono::seconds(1);
     std::uint64_t seed = 1; ///< Of the random choices.
 };
--- a/packages/core/src/rs_packet_agent.cpp
+++ b/packages/core/src/rs_packet_agent.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace radishspread {
 
@@ -155,20 +156,17 @@
     }
 }
 
-// Nothing is opened at a backend server before it is announced. An agent that
-// was there first has seen every flow, and need not try unknown ones at the
-// backend server. A missing announcement alone proves nothing: it may have
-// lapsed while the backend server lived on.
+// A backend server that has started after its agent, or with it, has no flow
+// that the agent has not seen; unknown ones need not be tried there. An
+// announcement that this process found at its start, or one of an earlier
+// start, proves nothing: flows were opened through the process before.
 void packet_agent::note_announcement(fleet_view::member const* self) {
-    if (!has_read_) {
-        has_read_ = true;
-        was_first_ = self == nullptr;
-    }
-    if (self == nullptr || knows_all_flows_ || !was_first_)
+    if (!std::exchange(has_read_, true) && self != nullptr)
+        first_born_ = self->born;
+    if (self == nullptr || self->born == first_born_)
         return;
-    was_first_ = false;
-    knows_all_flows_ =
-        self->born + start_tolerance_ms >= options_.started_unix_ms;
+    if (self->born + start_tolerance_ms >= options_.started_unix_ms)
+        knows_all_flows_ = true;
 }
 
 void packet_agent::sweep(instant now) {
@@ -195,7 +193,8 @@
         set_state(it, held_state::open);
     if (packet.payload_size > 0) {
         it.has_data = true;
-        set_outstanding(now, it, true);
+        if (it.note_caller_bytes(packet.sequence + packet.payload_size))
+            set_outstanding(now, it, true);
     }
     it.caller_finished = it.caller_finished || packet.is_finish;
     if (packet.is_reset || (it.caller_finished && it.backend_finished)) {
--- a/packages/core/src/rs_packet_balancer.cpp
+++ b/packages/core/src/rs_packet_balancer.cpp
@@ -20,6 +20,22 @@
     return nullptr;
 }
 
+bool packet_balancer::is_denied_by_all(
+    instant now, internal::flow_search const& it) const {
+    bool const is_asked_for_long =
+        it.asked_all_at != instant{} &&
+        now - it.asked_all_at >= options_.leaving_silence;
+    auto const members = view_.members_of(it.service);
+    return std::all_of(members.begin(), members.end(), [&](auto const* member) {
+        // A backend server gone for long has left its flows; a draining one
+        // whose agent is silent has left with its host.
+        bool const has_left =
+            (member->is_gone && now - member->gone_at >= options_.gone_grace) ||
+            (member->is_draining && is_asked_for_long);
+        return has_left || it.was_denied_by(agent_of(*member));
+    });
+}
+
 internal::placement_candidates packet_balancer::candidates(
     instant now, opening const& it) const {
     internal::placement_candidates list;
@@ -111,7 +127,7 @@
         return std::nullopt;
     auto due = instant::max();
     for (auto const& [flow, it] : searches_)
-        due = std::min(due, it.next_stage);
+        due = std::min(due, it.next_ask);
     for (auto const& [flow, it] : openings_)
         due = std::min({due, it.answer_due, it.begun + options_.opening_limit});
     if (due == instant::max())
--- a/packages/core/tests/rs_packet_agent_test.cpp
+++ b/packages/core/tests/rs_packet_agent_test.cpp
@@ -45,6 +45,17 @@
             .packet = packet_bytes};
     }
 
+    /// A question that everyone has to answer; returns the answer.
+    agent_packet ask(packet_agent & to, packet_flow const& flow, int ms,
+        std::uint32_t acknowledged = 101) {
+        auto question = message(agent_packet_kind::locate, flow);
+        question.packet = {};
+        question.must_answer = true;
+        question.handshake = acknowledged;
+        to.handle(at(ms), balancer_two, question, nullptr, sink);
+        return sink.sent.back().message;
+    }
+
     void open(packet_flow const& flow, int ms, std::uint64_t version = 5) {
         pass(core, at(ms), balancer_one,
             message(agent_packet_kind::open, flow, version),
@@ -387,3 +398,101 @@
     open(flow_of(3), 60);
     CHECK_EQUAL(3, sink.to_backend);
 }
+
+TEST(packet_agent, question_to_all_is_answered_by_everyone) {
+    hold(flow_of(1), 0);
+    CHECK(ask(core, flow_of(1), 1).kind == agent_packet_kind::held);
+    auto const other_offer = ask(core, flow_of(1), 2, 777);
+    CHECK(other_offer.kind == agent_packet_kind::not_held);
+    CHECK(!other_offer.is_unsure);
+    // This agent found its backend server announced when it started.
+    auto const unknown = ask(core, flow_of(2), 3);
+    CHECK(unknown.kind == agent_packet_kind::not_held);
+    CHECK(unknown.is_unsure);
+    CHECK_EQUAL(1, sink.to_backend);
+}
+
+// A flow that both ends have closed is still answered by its backend server.
+TEST(packet_agent, closed_flow_is_not_denied) {
+    hold(flow_of(1), 0);
+    auto finish = caller_packet_of(flow_of(1), 101);
+    finish.is_finish = true;
+    pass(core, at(1), balancer_one,
+        message(agent_packet_kind::carry, flow_of(1)), finish);
+    finish = backend_packet_of(flow_of(1));
+    finish.is_finish = true;
+    core.handle_backend(at(2), finish, sink);
+    CHECK(ask(core, flow_of(1), 3).kind == agent_packet_kind::held);
+}
+
+// After a power loss agents found the announcements of before, tried every
+// unknown flow at their backend servers, and were late with openings.
+TEST(packet_agent, agent_knows_all_flows_of_a_later_start) {
+    packet_agent restarted{packet_agent_options{.service = test_service,
+        .domain = test_domain,
+        .backend = backend_address(1),
+        .started_unix_ms = 9000}};
+    restarted.start(at(0), sink);
+    auto change = announcement_of(1, 2);
+    auto& announced = std::get<backend_announcement>(change.content);
+    announced.born = 1500;
+    restarted.view().apply(at(1), change);
+    restarted.view_changed(at(1), sink);
+    CHECK(ask(restarted, flow_of(1), 2).is_unsure);
+    change.revision = 3;
+    announced.born = 9100;
+    restarted.view().apply(at(3), change);
+    restarted.view_changed(at(3), sink);
+    CHECK(!ask(restarted, flow_of(1), 4).is_unsure);
+}
+
+// Another process carried the flows of a backend server that has run for long.
+TEST(packet_agent, agent_is_unsure_of_a_start_before_its_own) {
+    packet_agent restarted{packet_agent_options{.service = test_service,
+        .domain = test_domain,
+        .backend = backend_address(1),
+        .started_unix_ms = 9000}};
+    restarted.start(at(0), sink);
+    auto change = announcement_of(1, 2);
+    auto& announced = std::get<backend_announcement>(change.content);
+    announced.born = 1500;
+    restarted.view().apply(at(1), change);
+    restarted.view_changed(at(1), sink);
+    change.revision = 3;
+    announced.born = 7900;
+    restarted.view().apply(at(3), change);
+    restarted.view_changed(at(3), sink);
+    CHECK(ask(restarted, flow_of(1), 4).is_unsure);
+}
+
+// A repeated request that its backend server had answered already held a slot
+// for five seconds: after a restart of all processes none was left.
+TEST(packet_agent, repeated_request_holds_no_slot) {
+    hold(flow_of(1), 0);
+    auto request = caller_packet_of(flow_of(1), 101);
+    request.payload_size = 10;
+    request.sequence = 0xfffffffa; // Wraps around within the request.
+    auto const carried = message(agent_packet_kind::carry, flow_of(1));
+    pass(core, at(1), balancer_one, carried, request);
+    CHECK_EQUAL(1, core.in_progress());
+    core.handle_backend(at(20), backend_packet_of(flow_of(1)), sink);
+    CHECK_EQUAL(0, core.in_progress());
+    pass(core, at(21), balancer_two, carried, request);
+    CHECK_EQUAL(0, core.in_progress());
+    request.sequence += request.payload_size;
+    pass(core, at(22), balancer_two, carried, request);
+    CHECK_EQUAL(1, core.in_progress());
+}
+
+// A searching balancer passes on what it has kept, the packet that was tried
+// included.
+TEST(packet_agent, copy_of_the_tried_packet_holds_no_slot) {
+    auto request = caller_packet_of(flow_of(1), 101);
+    request.payload_size = 10;
+    pass(core, at(0), balancer_one,
+        message(agent_packet_kind::locate, flow_of(1)), request);
+    core.handle_backend(at(20), backend_packet_of(flow_of(1)), sink);
+    pass(core, at(21), balancer_one,
+        message(agent_packet_kind::carry, flow_of(1)), request);
+    CHECK_EQUAL(0, core.in_progress());
+}
--- a/packages/wire/src/rs_agent_packet_codec.cpp
+++ b/packages/wire/src/rs_agent_packet_codec.cpp
@@ -17,6 +17,8 @@
 constexpr std::uint8_t forced_flag = 1;
 constexpr std::uint8_t cold_flag = 2;
 constexpr std::uint8_t located_flag = 4;
+constexpr std::uint8_t answer_flag = 8;
+constexpr std::uint8_t unsure_flag = 16;
 
 /// The layout: big-endian, no padding.
 struct head {
@@ -41,9 +43,10 @@
 static_assert(sizeof(head) == agent_packet_head_size);
 
 std::uint8_t flags_of(agent_packet const& it) {
-    unsigned const flags = (it.is_forced ? forced_flag : 0U) |
-                           (it.is_cold ? cold_flag : 0U) |
-                           (it.was_located ? located_flag : 0U);
+    unsigned const flags =
+        (it.is_forced ? forced_flag : 0U) | (it.is_cold ? cold_flag : 0U) |
+        (it.was_located ? located_flag : 0U) |
+        (it.must_answer ? answer_flag : 0U) | (it.is_unsure ? unsure_flag : 0U);
     return static_cast<std::uint8_t>(flags);
 }
 
@@ -94,6 +97,8 @@
         .is_forced = (in.flags & forced_flag) != 0,
         .is_cold = (in.flags & cold_flag) != 0,
         .was_located = (in.flags & located_flag) != 0,
+        .must_answer = (in.flags & answer_flag) != 0,
+        .is_unsure = (in.flags & unsure_flag) != 0,
         .service = in.service.value(),
         .route_version = in.route_version.value(),
         .cold_rate = in.cold_rate.value(),
--- a/packages/wire/tests/rs_agent_packet_codec_test.cpp
+++ b/packages/wire/tests/rs_agent_packet_codec_test.cpp
@@ -30,6 +30,8 @@
         .is_forced = true,
         .is_cold = true,
         .was_located = true,
+        .must_answer = true,
+        .is_unsure = true,
         .service = 0xa1b2c3d4,
         .route_version = 0x1122334455667788,
         .cold_rate = 400,
@@ -48,6 +50,7 @@
     CHECK(out.has_value());
     CHECK(out->kind == message.kind && out->why == message.why);
     CHECK(out->is_forced && out->is_cold && out->was_located);
+    CHECK(out->must_answer && out->is_unsure);
     CHECK_EQUAL(message.service, out->service);
     CHECK_EQUAL(message.route_version, out->route_version);
     CHECK_EQUAL(message.cold_rate, out->cold_rate);
