Lists of flows answer many searches at once; agents know sooner

Three things held them up: hosts with 0.12 cores were busy with two messages for each agent and flow; agents whose backend server had started with them stayed unsure, as its announcement was there at their first read (born 46 to 297 ms before them) or was read 2.5 s later; agents of draining servers, which do not come back, stayed unsure for good. Change: from six searches on, each agent is asked once for a list of its flows. An agent is sure of a backend server that started at most 300 ms before it, or that sends nothing for a second after a trial with payload. It collects changes for 0.2 s only until it knows its announcement, at most 3 s. An agent that answers no question for 1.5 s blocks no reset.

--- a/packages/core/include/radishspread/core/internal/rs_agent_loads.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_agent_loads.hpp
@@ -17,6 +17,8 @@
     instant reported_at;
     unsigned strikes = 0; ///< Openings in a row without an answer.
     instant passed_over_until;
+    instant silent_since;    ///< First question without an answer since.
+    unsigned unanswered = 0; ///< Questions since then.
 };
 
 /// Load and health of the agents, learned from their answers alone.
@@ -28,12 +30,17 @@
     void report(instant now, endpoint agent, agent_packet const& answer);
     /// An opening was sent to the agent.
     void sent(instant now, endpoint agent);
+    /// A question was sent that the agent has to answer.
+    void asked(instant now, endpoint agent);
     /// An opening had no answer. True if the agent is passed over from now on.
     bool missed(instant now, endpoint agent, duration pass_over);
     void pass_over(endpoint agent, instant until);
     /// Something else was heard from the agent.
     void heard(endpoint agent);
 
+    /// True if the agent has left several questions unanswered for `limit`.
+    [[nodiscard]] bool is_silent(
+        instant now, endpoint agent, duration limit) const;
     [[nodiscard]] bool is_passed_over(instant now, endpoint agent) const;
     /// Requests in progress for each slot, estimated; `slots` is used if the
     /// agent has not said how many it has.
--- a/packages/core/include/radishspread/core/internal/rs_flow_search.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_flow_search.hpp
@@ -30,11 +30,14 @@
     instant started;
     instant next_ask; ///< Of those that have not denied the flow.
     unsigned repeat_factor = 1;
+    std::uint32_t first_list = 0; ///< Lists from this one on cover it; 0: none.
     instant asked_all_at; ///< First question to all agents; default: not yet.
     instant denied_at; ///< All agents known denied it first; default: not yet.
     bool is_confirmed = false;      ///< A read that began after that has ended.
     std::uint32_t acknowledged = 0; ///< Of the caller's last packet.
     boost::container::small_vector<endpoint, 16> denied;
+    /// Agents that got the caller's last packet.
+    boost::container::small_vector<endpoint, 16> tried;
     /// Packets that arrived meanwhile, the oldest first.
     std::vector<std::vector<std::byte>> kept;
 
@@ -47,6 +50,11 @@
         kept.emplace_back(packet.bytes.begin(), packet.bytes.end());
     }
 
+    /// True if the answer to the question of that number covers the flow.
+    [[nodiscard]] bool is_in_list(std::uint32_t number) const {
+        return first_list != 0 && number >= first_list;
+    }
+
     [[nodiscard]] bool was_denied_by(endpoint agent) const {
         return std::find(denied.begin(), denied.end(), agent) != denied.end();
     }
--- a/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
@@ -8,6 +8,7 @@
 namespace radishspread {
 
 template <packet_sink Sink> void packet_agent::start(instant now, Sink&) {
+    started_ = now;
     last_event_ = now;
 }
 
@@ -20,6 +21,7 @@
     sink.log({.number = packet_event::paused,
         .value = gap / std::chrono::milliseconds(1)});
     oldest_unanswered_ = {};
+    oldest_trial_ = {};
     sink.refresh_view();
     return true;
 }
@@ -47,8 +49,10 @@
 
 template <packet_sink Sink>
 void packet_agent::on_locate(
-    instant, endpoint from, agent_packet const& message, Sink& sink) {
+    instant now, endpoint from, agent_packet const& message, Sink& sink) {
     using internal::held_state;
+    if (message.kind == agent_packet_kind::list)
+        return send_list(now, from, message, sink);
     if (message.kind != agent_packet_kind::locate)
         return;
     auto const found = flows_.find(message.flow);
@@ -68,9 +72,10 @@
     // Silence spares the usual search, which finds the holder, most answers.
     if (!message.must_answer)
         return;
-    bool const is_denied = message.service != options_.service ||
-                           is_other_offer || knows_all_flows_ ||
-                           (is_known && state == held_state::absent);
+    bool const is_denied =
+        message.service != options_.service || is_other_offer ||
+        (is_known && state == held_state::absent) ||
+        ((!is_known || state == held_state::probed) && is_sure(now));
     sink.send(from, {.kind = agent_packet_kind::not_held,
                         .why = refusal::not_held,
                         .was_located = true,
@@ -80,6 +85,26 @@
                         .flow = message.flow});
 }
 
+template <packet_sink Sink>
+void packet_agent::send_list(
+    instant now, endpoint to, agent_packet const& question, Sink& sink) {
+    bool const is_other = question.service != options_.service;
+    agent_packet answer{.kind = agent_packet_kind::listed,
+        .is_unsure = !is_other && !is_sure(now),
+        .service = question.service,
+        .route_version = newest_routes_,
+        .handshake = question.handshake};
+    auto const flows =
+        is_other ? std::vector<std::uint64_t>{} : listable_flows();
+    if (flows.size() > max_listed_flows) {
+        answer.why = refusal::overloaded;
+        return sink.send(to, answer);
+    }
+    auto const bytes = encode_flow_list(flows);
+    answer.packet = bytes;
+    sink.send(to, answer);
+}
+
 template <packet_sink Sink>
 void packet_agent::decline(instant, endpoint to, agent_packet const& message,
     refusal why, Sink& sink) {
@@ -256,6 +281,9 @@
     it.balancer = from;
     set_state(it, held_state::probed);
     it.note_caller_bytes(packet.sequence + packet.payload_size);
+    // A packet without payload need not be answered.
+    if (packet.payload_size > 0 && oldest_trial_ == instant{})
+        oldest_trial_ = now;
     sink.log({.number = packet_event::flow_probed,
         .flow = message.flow,
         .peer = from});
@@ -300,6 +328,7 @@
     instant now, flow_packet const& packet, Sink& sink) {
     last_event_ = now;
     oldest_unanswered_ = {};
+    oldest_trial_ = {};
     if (is_silent_) {
         is_silent_ = false;
         sink.log({.number = packet_event::backend_silent, .value = 0});
--- a/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
@@ -42,6 +42,7 @@
         it = is_over ? openings_.erase(it) : std::next(it);
     }
     confirm_denials(now, read_started, sink);
+    continue_searches(now, sink);
 }
 
 template <packet_sink Sink>
@@ -229,6 +230,8 @@
         on_declined(now, from, message, sink);
     } else if (message.kind == agent_packet_kind::not_held) {
         on_not_held(now, from, message, packet, sink);
+    } else if (message.kind == agent_packet_kind::listed) {
+        on_listed(now, from, message, sink);
     } else if (message.kind == agent_packet_kind::leaving) {
         loads_.pass_over(from, now + options_.leaving_time);
         sink.log({.number = packet_event::agent_leaving, .peer = from});
--- a/packages/core/include/radishspread/core/internal/rs_packet_search_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_search_impl.hpp
@@ -17,8 +17,12 @@
     it.keep(packet);
     it.service = service;
     it.started = now;
-    if (is_new)
-        ask(now, flow, it, sink);
+    it.tried.clear();
+    if (!is_new)
+        return;
+    if (searches_.size() < options_.min_listed_searches)
+        return ask(now, flow, it, sink);
+    it.next_ask = std::max(now, last_list_at_ + options_.list_interval);
 }
 
 // Questions leave the packet out: with a large service and a narrow link it
@@ -48,6 +52,20 @@
         .value = static_cast<std::int64_t>(asked)});
 }
 
+template <packet_sink Sink>
+void packet_balancer::ask_one(instant now, endpoint agent,
+    packet_flow const& flow, internal::flow_search const& it, Sink& sink) {
+    if (search_rate_.count(now) >= options_.max_search_datagrams)
+        return;
+    search_rate_.add(now);
+    sink.send(agent, {.kind = agent_packet_kind::locate,
+                         .must_answer = true,
+                         .service = it.service,
+                         .route_version = view_.route_version(),
+                         .handshake = it.acknowledged,
+                         .flow = flow});
+}
+
 template <packet_sink Sink>
 std::size_t packet_balancer::ask_stage(instant now, packet_flow const& flow,
     internal::flow_search& it, Sink& sink) {
@@ -67,6 +85,8 @@
             continue;
         asked.push_back(agent);
         search_rate_.add(now);
+        if (asks_all)
+            loads_.asked(now, agent);
         sink.send(agent, message);
     }
     return asked.size();
@@ -134,7 +154,7 @@
         it.is_confirmed = it.is_confirmed || is_newer;
         bool const is_over = is_newer && settle(now, flow, it, sink);
         if (is_newer && !is_over)
-            ask(now, flow, it, sink);
+            it.next_ask = now;
         entry = is_over ? searches_.erase(entry) : std::next(entry);
     }
 }
@@ -142,16 +162,21 @@
 // Asks those that have not answered again.
 template <packet_sink Sink>
 void packet_balancer::continue_searches(instant now, Sink& sink) {
+    bool const uses_lists = searches_.size() >= options_.min_listed_searches;
+    bool is_any_due = false;
     for (auto entry = searches_.begin(); entry != searches_.end();) {
         auto& [flow, it] = *entry;
         bool const is_due = now >= it.next_ask;
         bool const is_over = is_due && settle(now, flow, it, sink);
-        if (is_due && !is_over) {
+        is_any_due = is_any_due || (is_due && !is_over);
+        if (is_due && !is_over && !uses_lists) {
             it.stage = internal::search_stage::all;
             ask(now, flow, it, sink);
         }
         entry = is_over ? searches_.erase(entry) : std::next(entry);
     }
+    if (uses_lists && is_any_due)
+        request_lists(now, sink);
 }
 
 // Only the backend server can tell: one packet of the flow is tried there.
@@ -161,6 +186,11 @@
     auto const found = searches_.find(flow);
     if (found == searches_.end() || found->second.kept.empty())
         return;
+    auto& tried = found->second.tried;
+    if (std::find(tried.begin(), tried.end(), agent) != tried.end() ||
+        search_rate_.count(now) >= options_.max_search_datagrams)
+        return;
+    tried.push_back(agent);
     search_rate_.add(now);
     sink.send(agent, {.kind = agent_packet_kind::locate,
                          .service = found->second.service,
--- a/packages/core/include/radishspread/core/rs_agent_packet.hpp
+++ b/packages/core/include/radishspread/core/rs_agent_packet.hpp
@@ -20,11 +20,13 @@
     not_held, ///< To the balancer: flow not here; contains the packet.
     leaving,  ///< To the balancer: the agent stops; no openings any more.
     queued,   ///< To the balancer: the opening waits for a free slot.
+    list,     ///< To the agent: which flows does it hold?
+    listed,   ///< To the balancer: flows that may be here, see `rs_flow_list`.
 };
 
 /// Largest value, for decoders.
 inline constexpr agent_packet_kind last_agent_packet_kind =
-    agent_packet_kind::queued;
+    agent_packet_kind::listed;
 
 /// `agent_packet::cold_rate` of one opening a second.
 inline constexpr std::uint16_t cold_rate_units = 16;
@@ -32,7 +34,8 @@
 /// Message between a balancer and an agent. Fields not named for a kind are 0.
 struct agent_packet {
     agent_packet_kind kind = agent_packet_kind::carry;
-    refusal why = refusal::none; ///< `declined`.
+    /// `declined`; `listed`: `overloaded` if they are too many for a list.
+    refusal why = refusal::none;
     /// `open`: to be queued if there is no free slot.
     bool is_forced = false;
     /// `open`: the balancer's view has the backend server as cold.
@@ -41,7 +44,8 @@
     bool was_located = false;
     /// `locate` without a packet: whoever does not hold the flow says so too.
     bool must_answer = false;
-    /// `not_held`: only a packet tried at the backend server would tell.
+    /// `not_held`, `listed`: of other flows only a packet tried at the backend
+    /// server would tell.
     bool is_unsure = false;
     std::uint32_t service = 0;       ///< `service_tag` of the service.
     std::uint64_t route_version = 0; ///< Newest version of the routes known.
@@ -56,9 +60,10 @@
     /// `open`: milliseconds since the caller's first copy.
     std::uint16_t age_ms = 0;
     /// `held`: first sequence number of the backend server, 0 if unknown;
-    /// `locate`: what the caller acknowledges.
+    /// `locate`: what the caller acknowledges; `list`, `listed`: number of the
+    /// question.
     std::uint32_t handshake = 0;
-    packet_flow flow;                  ///< Set for all kinds but `leaving`.
+    packet_flow flow; ///< Unset for `leaving`, `list` and `listed`.
     std::span<std::byte const> packet; ///< Kinds that contain a packet.
 };
 
--- /dev/null
+++ b/packages/core/include/radishspread/core/rs_flow_list.hpp
@@ -0,0 +1,24 @@
+#ifndef RADISHSPREAD_CORE_RS_FLOW_LIST_HPP
+#define RADISHSPREAD_CORE_RS_FLOW_LIST_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace radishspread {
+
+/// Most flows in one list: what fits into a datagram.
+inline constexpr std::size_t max_listed_flows = 150;
+
+/// Encodes the `hash_value` of flows, eight bytes each, big-endian.
+[[nodiscard]] std::vector<std::byte> encode_flow_list(
+    std::span<std::uint64_t const> flows);
+
+/// Decodes a list, sorted; bytes that make no whole number are left out.
+[[nodiscard]] std::vector<std::uint64_t> decode_flow_list(
+    std::span<std::byte const> bytes);
+
+} // namespace radishspread
+
+#endif
--- a/packages/core/include/radishspread/core/rs_item_follower.hpp
+++ b/packages/core/include/radishspread/core/rs_item_follower.hpp
@@ -75,6 +75,9 @@
     /// asked already. True if the driver should drop its call.
     bool catch_up(instant now, endpoint peer);
 
+    /// Collects changes for this long from the next answer on.
+    void set_collect(duration value) { options_.collect = value; }
+
     [[nodiscard]] instant due() const { return due_; }
     [[nodiscard]] bool is_outstanding() const { return is_outstanding_; }
     [[nodiscard]] unsigned failures() const { return failures_; }
--- a/packages/core/include/radishspread/core/rs_packet_agent.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_agent.hpp
@@ -5,6 +5,7 @@
 #include <radishspread/core/internal/rs_opening_queue.hpp>
 #include <radishspread/core/internal/rs_rate_window.hpp>
 #include <radishspread/core/rs_fleet_view.hpp>
+#include <radishspread/core/rs_flow_list.hpp>
 #include <radishspread/core/rs_flow_packet.hpp>
 #include <radishspread/core/rs_packet_agent_options.hpp>
 #include <radishspread/core/rs_packet_events.hpp>
@@ -15,6 +16,7 @@
 #include <map>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace radishspread {
 
@@ -55,6 +57,12 @@
     [[nodiscard]] fleet_view const& view() const { return view_; }
     [[nodiscard]] std::size_t flows() const { return open_; }
     [[nodiscard]] std::size_t in_progress() const { return in_progress_; }
+    /// True while a new announcement of the backend server would tell that this
+    /// agent knows all flows.
+    [[nodiscard]] bool awaits_announcement(instant now) const {
+        return !knows_all_flows_ &&
+               now - started_ < options_.announcement_limit;
+    }
     /// Openings that wait for a free slot.
     [[nodiscard]] std::size_t queued() const { return queue_.size(); }
 
@@ -78,6 +86,17 @@
     void on_locate(
         instant now, endpoint from, agent_packet const& message, Sink& sink);
     template <packet_sink Sink>
+    void send_list(
+        instant now, endpoint to, agent_packet const& question, Sink& sink);
+    /// True if a flow that is not in the table is not at the backend server.
+    [[nodiscard]] bool is_sure(instant now) const {
+        return knows_all_flows_ ||
+               (oldest_trial_ != instant{} &&
+                   now - oldest_trial_ >= options_.trial_limit);
+    }
+    /// Flows that may be at the backend server.
+    [[nodiscard]] std::vector<std::uint64_t> listable_flows() const;
+    template <packet_sink Sink>
     void on_packet(instant now, endpoint from, agent_packet const& message,
         flow_packet const& packet, Sink& sink);
     template <packet_sink Sink>
@@ -136,7 +155,9 @@
     bool knows_all_flows_ = false;
     internal::opening_queue queue_;
     duration service_time_; ///< Usual time to a response.
+    instant started_;
     instant last_event_;
+    instant oldest_trial_;      ///< Of a flow, nothing received since.
     instant oldest_unanswered_; ///< Opening without a reply; default: none.
     bool is_silent_ = false;
     instant next_trial_;
--- a/packages/core/include/radishspread/core/rs_packet_agent_options.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_agent_options.hpp
@@ -36,6 +36,12 @@
     duration attempt_limit = std::chrono::milliseconds(1350);
     /// Goal for the response time of a route that names none.
     duration usual_goal = std::chrono::milliseconds(200);
+    /// A backend server that has sent nothing for this long after a flow was
+    /// tried there holds none.
+    duration trial_limit = std::chrono::seconds(1);
+    /// Time after the start in which the announcement of a backend server that
+    /// has started with the agent is expected.
+    duration announcement_limit = std::chrono::seconds(3);
     /// A gap this long between two events means that the process was paused.
     duration pause_limit = std::chrono::seconds(1);
     /// For this long after its failure domain came back, a backend server with
--- a/packages/core/include/radishspread/core/rs_packet_balancer.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_balancer.hpp
@@ -10,6 +10,7 @@
 #include <radishspread/core/internal/rs_rate_window.hpp>
 #include <radishspread/core/internal/rs_retry_tokens.hpp>
 #include <radishspread/core/rs_fleet_view.hpp>
+#include <radishspread/core/rs_flow_list.hpp>
 #include <radishspread/core/rs_flow_packet.hpp>
 #include <radishspread/core/rs_packet_balancer_options.hpp>
 #include <radishspread/core/rs_packet_events.hpp>
@@ -85,6 +86,19 @@
     template <packet_sink Sink>
     std::size_t ask_stage(instant now, packet_flow const& flow,
         internal::flow_search& it, Sink& sink);
+    /// Asks one agent, which must answer.
+    template <packet_sink Sink>
+    void ask_one(instant now, endpoint agent, packet_flow const& flow,
+        internal::flow_search const& it, Sink& sink);
+    /// Asks the agents of all services sought for lists of their flows.
+    template <packet_sink Sink> void request_lists(instant now, Sink& sink);
+    template <packet_sink Sink>
+    void request_lists_of(instant now, std::uint32_t service, Sink& sink);
+    template <packet_sink Sink>
+    void on_listed(
+        instant now, endpoint from, agent_packet const& message, Sink& sink);
+    /// The search is covered by the lists requested now.
+    void note_listed(instant now, internal::flow_search& it) const;
     /// Sends the packets kept in the search to the holder.
     template <packet_sink Sink>
     void end_search(packet_flow const& flow, endpoint holder, Sink& sink);
@@ -159,6 +173,8 @@
     internal::flow_cache flows_;
     opening_table openings_;
     search_table searches_;
+    std::uint32_t list_number_ = 0; ///< Of the last request for lists.
+    instant last_list_at_;
     internal::agent_loads loads_;
     internal::rate_window search_rate_{std::chrono::seconds(1)};
     internal::retry_tokens retries_;
@@ -171,6 +187,7 @@
 } // namespace radishspread
 
 #include <radishspread/core/internal/rs_packet_balancer_impl.hpp>
+#include <radishspread/core/internal/rs_packet_list_impl.hpp>
 #include <radishspread/core/internal/rs_packet_search_impl.hpp>
 
 #endif
--- a/packages/core/include/radishspread/core/rs_packet_balancer_options.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_balancer_options.hpp
@@ -37,14 +37,18 @@
     duration search_interval = std::chrono::milliseconds(100);
     /// Messages of searches a second, about a fifth of a link of 10 Mbit/s.
     std::size_t max_search_datagrams = 2500;
+    /// From this many searches on, agents are asked for lists of their flows.
+    std::size_t min_listed_searches = 6;
+    /// Time between two requests for lists.
+    duration list_interval = std::chrono::milliseconds(50);
     /// A search that found nothing is forgotten after this time.
     duration search_limit = std::chrono::seconds(3);
     /// A removed backend server may live on, its announcement lapsed; after
     /// this time its agent need not deny a flow any more.
     duration gone_grace = std::chrono::seconds(2);
-    /// A draining backend server whose agent does not answer for this long, a
-    /// restart several times over, has left.
-    duration leaving_silence = std::chrono::milliseconds(1500);
+    /// An agent that has answered no question for this long, a restart several
+    /// times over, need not deny a flow either.
+    duration silence_limit = std::chrono::milliseconds(1500);
     duration pause_limit = std::chrono::seconds(1);
     std::uint64_t seed = 1; ///< Of the random choices.
 };
--- a/packages/core/include/radishspread/core/rs_packet_events.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_events.hpp
@@ -24,6 +24,7 @@
 inline constexpr std::uint16_t view_behind = 1610;
 inline constexpr std::uint16_t paused = 1611;
 inline constexpr std::uint16_t table_full = 1612;
+inline constexpr std::uint16_t flows_listed = 1613;
 inline constexpr std::uint16_t opening_taken = 1620;
 inline constexpr std::uint16_t opening_declined = 1621;
 inline constexpr std::uint16_t opening_returned = 1622;
@@ -50,7 +51,7 @@
 inline constexpr std::uint16_t bad_packet = 1655;
 inline constexpr std::uint16_t listen_failed = 1656;
 inline constexpr std::uint16_t lines_left_out = 1657;
-inline constexpr std::size_t count = 39;
+inline constexpr std::size_t count = 40;
 
 } // namespace packet_event
 
@@ -82,6 +83,8 @@
             "process was paused; value: length in ms"},
         {packet_event::table_full, severity::warning,
             "flow table full, oldest entries dropped; value: entries"},
+        {packet_event::flows_listed, severity::info,
+            "agents asked for lists of their flows; value: flows sought"},
         {packet_event::opening_taken, severity::info,
             "opening passed to the backend server; value: flows open"},
         {packet_event::opening_declined, severity::info,
--- a/packages/core/src/rs_agent_loads.cpp
+++ b/packages/core/src/rs_agent_loads.cpp
@@ -9,6 +9,9 @@
 /// One lost datagram does not make an agent suspect.
 constexpr unsigned strikes_to_pass_over = 2;
 
+/// Nor do a few prove that it is gone.
+constexpr unsigned questions_to_be_silent = 4;
+
 } // namespace
 
 void agent_loads::report(
@@ -18,8 +21,21 @@
     it.flows = answer.flows;
     it.slots = answer.slots;
     it.reported_at = now;
-    it.strikes = 0;
-    it.passed_over_until = {};
+    heard(agent);
+}
+
+void agent_loads::asked(instant now, endpoint agent) {
+    auto& it = loads_[agent];
+    if (it.unanswered == 0)
+        it.silent_since = now;
+    ++it.unanswered;
+}
+
+bool agent_loads::is_silent(instant now, endpoint agent, duration limit) const {
+    auto const it = loads_.find(agent);
+    return it != loads_.end() &&
+           it->second.unanswered >= questions_to_be_silent &&
+           now - it->second.silent_since >= limit;
 }
 
 void agent_loads::sent(instant, endpoint agent) {
@@ -44,6 +60,7 @@
 void agent_loads::heard(endpoint agent) {
     auto& it = loads_[agent];
     it.strikes = 0;
+    it.unanswered = 0;
     it.passed_over_until = {};
 }
 
--- a/packages/core/src/rs_packet_agent.cpp
+++ b/packages/core/src/rs_packet_agent.cpp
@@ -23,6 +23,9 @@
 /// A backend server and its agent start together, in any order.
 constexpr std::uint64_t start_tolerance_ms = 1000;
 
+/// A process is away for longer than this when it is restarted.
+constexpr std::uint64_t restart_gap_ms = 300;
+
 bool counts_as_open(held_state state) {
     return state <= held_state::open;
 }
@@ -38,6 +41,14 @@
     return self == nullptr ? told_slots_ : self->slots;
 }
 
+std::vector<std::uint64_t> packet_agent::listable_flows() const {
+    std::vector<std::uint64_t> out;
+    for (auto const& [flow, it] : flows_)
+        if (it.state != held_state::absent && it.state != held_state::probed)
+            out.push_back(hash_value(flow));
+    return out;
+}
+
 std::size_t packet_agent::queue_limit() const {
     auto const n = slots();
     if (n == 0)
@@ -157,15 +168,17 @@
 }
 
 // A backend server that has started after its agent, or with it, has no flow
-// that the agent has not seen; unknown ones need not be tried there. An
-// announcement that this process found at its start, or one of an earlier
-// start, proves nothing: flows were opened through the process before.
+// that the agent has not seen; unknown ones need not be tried there. One that
+// was announced before this process looked may have taken flows through the
+// process before, unless it has started since that one ended.
 void packet_agent::note_announcement(fleet_view::member const* self) {
     if (!std::exchange(has_read_, true) && self != nullptr)
         first_born_ = self->born;
-    if (self == nullptr || self->born == first_born_)
+    if (self == nullptr)
         return;
-    if (self->born + start_tolerance_ms >= options_.started_unix_ms)
+    auto const tolerance =
+        self->born == first_born_ ? restart_gap_ms : start_tolerance_ms;
+    if (self->born + tolerance >= options_.started_unix_ms)
         knows_all_flows_ = true;
 }
 
--- a/packages/core/src/rs_packet_balancer.cpp
+++ b/packages/core/src/rs_packet_balancer.cpp
@@ -20,19 +20,29 @@
     return nullptr;
 }
 
+void packet_balancer::note_listed(
+    instant now, internal::flow_search& it) const {
+    it.stage = internal::search_stage::all;
+    if (it.first_list == 0)
+        it.first_list = list_number_;
+    if (it.asked_all_at == instant{})
+        it.asked_all_at = now;
+    it.next_ask = now + options_.search_interval;
+}
+
 bool packet_balancer::is_denied_by_all(
     instant now, internal::flow_search const& it) const {
-    bool const is_asked_for_long =
-        it.asked_all_at != instant{} &&
-        now - it.asked_all_at >= options_.leaving_silence;
+    bool const had_time = it.asked_all_at != instant{} &&
+                          now - it.asked_all_at >= options_.search_interval;
     auto const members = view_.members_of(it.service);
     return std::all_of(members.begin(), members.end(), [&](auto const* member) {
-        // A backend server gone for long has left its flows; a draining one
-        // whose agent is silent has left with its host.
-        bool const has_left =
+        auto const agent = agent_of(*member);
+        // A backend server gone for long has left its flows; one whose agent
+        // has been silent for longer than any restart cannot serve them.
+        bool const cannot_serve =
             (member->is_gone && now - member->gone_at >= options_.gone_grace) ||
-            (member->is_draining && is_asked_for_long);
-        return has_left || it.was_denied_by(agent_of(*member));
+            (had_time && loads_.is_silent(now, agent, options_.silence_limit));
+        return cannot_serve || it.was_denied_by(agent);
     });
 }
 
--- a/packages/runtime/include/radishspread/runtime/rs_item_source.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_item_source.hpp
@@ -62,6 +62,9 @@
             ++call_id_;
     }
 
+    /// Collects changes for this long from the next answer on.
+    void set_collect(duration value) { follower_.set_collect(value); }
+
     [[nodiscard]] item_follower const& follower() const { return follower_; }
     [[nodiscard]] bool is_complete() const { return follower_.is_complete(); }
     [[nodiscard]] bool is_outstanding() const {
--- a/packages/runtime/include/radishspread/runtime/rs_packet_agent_process.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_agent_process.hpp
@@ -21,7 +21,7 @@
         : shell_(shell), core_(make_options(shell.settings())),
           sources_(shell, core_.view(), Platform::prefixes(),
               {.wait = watch_wait, .collect = collect, .seed = random_number()},
-              collect_members,
+              collect_at_start,
               [this](item_page const& page, bool) { view_changed(page); }) {
         sources_.serve();
     }
@@ -68,6 +68,8 @@
     static constexpr duration collect = std::chrono::milliseconds(1500);
     /// All but one of these changes are about other backend servers.
     static constexpr duration collect_members = std::chrono::milliseconds(2500);
+    /// The same until the announcement of the own backend server is known.
+    static constexpr duration collect_at_start = std::chrono::milliseconds(200);
 
     static packet_agent_options make_options(
         config::packet_settings const& settings) {
@@ -140,6 +142,9 @@
             shell_.log(describe(it));
         if (sources_.is_complete())
             core_.view_changed(shell_.now(), *this);
+        sources_.set_collect_members(core_.awaits_announcement(shell_.now())
+                                         ? collect_at_start
+                                         : collect_members);
         schedule();
     }
 
--- a/packages/runtime/include/radishspread/runtime/rs_packet_balancer_process.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_balancer_process.hpp
@@ -103,7 +103,8 @@
         if (!message)
             return false;
         std::optional<flow_packet> packet;
-        if (!message->packet.empty()) {
+        bool const is_list = message->kind == agent_packet_kind::listed;
+        if (!message->packet.empty() && !is_list) {
             packet = Platform::decode(message->packet);
             if (!packet)
                 return false;
--- a/packages/runtime/include/radishspread/runtime/rs_view_sources.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_view_sources.hpp
@@ -77,6 +77,11 @@
     /// Reads the backend servers again.
     void reread_members(instant now) { sources_.back()->reread(now); }
 
+    /// Collects changes of backend servers for this long.
+    void set_collect_members(duration value) {
+        sources_.back()->set_collect(value);
+    }
+
     [[nodiscard]] bool is_complete() const {
         return std::all_of(sources_.begin(), sources_.end(),
             [](auto const& it) { return it->is_complete(); });
