Packet cores and their tests in smaller files; removed items bounded

Ruled out: forgetting a removed item with its member after 60 s, since a peer that was parted for an hour could bring it back. Change: openings of the agent in a file of their own; tests by subject with fixtures; one lookup of an event; revisions of removed items are forgotten after two hours; members are found by the address of their host. Conclusion: no change of behaviour but for the bound.

--- /dev/null
+++ b/packages/core/include/radishspread/core/internal/rs_packet_opening_impl.hpp
@@ -0,0 +1,130 @@
+#ifndef RADISHSPREAD_CORE_INTERNAL_RS_PACKET_OPENING_IMPL_HPP
+#define RADISHSPREAD_CORE_INTERNAL_RS_PACKET_OPENING_IMPL_HPP
+
+#include <radishspread/core/rs_packet_agent.hpp>
+
+#include <algorithm>
+
+namespace radishspread {
+
+template <packet_sink Sink>
+void packet_agent::decline(instant, endpoint to, agent_packet const& message,
+    refusal why, Sink& sink) {
+    sink.log({.number = packet_event::opening_declined,
+        .flow = message.flow,
+        .peer = to,
+        .why = why,
+        .version = message.route_version,
+        .value = static_cast<std::int64_t>(in_progress_)});
+    auto answer = make_report(agent_packet_kind::declined, message.flow);
+    answer.why = why;
+    answer.packet = message.packet;
+    sink.send(to, answer);
+}
+
+template <packet_sink Sink>
+void packet_agent::on_open(instant now, endpoint from,
+    agent_packet const& message, flow_packet const& packet, Sink& sink) {
+    auto const known = flows_.find(message.flow);
+    bool const is_copy = known != flows_.end() &&
+                         known->second.state <= internal::held_state::open;
+    expire_unused(now);
+    if (is_copy) {
+        auto& it = known->second;
+        it.balancer = from;
+        it.last_packet = now;
+        // The balancer asks again: the earlier answer may be lost.
+        if (it.state != internal::held_state::opening)
+            send_held(from, message.flow, it, sink);
+        return sink.send_backend(packet.bytes);
+    }
+    if (queue_.contains(message.flow))
+        return sink.send(
+            from, make_report(agent_packet_kind::queued, message.flow));
+    bool const is_full =
+        known == flows_.end() && flows_.size() >= options_.max_flows;
+    auto const why = is_full ? refusal::overloaded : judge(now, message);
+    if (why == refusal::none)
+        return take(now, from, message, packet.bytes, sink);
+    if (why == refusal::overloaded && message.is_forced && !is_full)
+        return enqueue(now, from, message, packet, sink);
+    decline(now, from, message, why, sink);
+}
+
+template <packet_sink Sink>
+void packet_agent::take(instant now, endpoint from, agent_packet const& message,
+    std::span<std::byte const> bytes, Sink& sink) {
+    auto& it = insert(now, message.flow);
+    it.balancer = from;
+    it.last_packet = now;
+    it.opened_at = now;
+    it.told = {};
+    it.has_data = false;
+    it.has_caller_end = false;
+    unused_.emplace_back(now, message.flow);
+    set_state(it, internal::held_state::opening);
+    set_outstanding(now, it, true);
+    if (oldest_unanswered_ == instant{})
+        oldest_unanswered_ = now;
+    sink.log({.number = packet_event::opening_taken,
+        .flow = message.flow,
+        .peer = from,
+        .version = message.route_version,
+        .value = static_cast<std::int64_t>(open_),
+        .age_ms = message.age_ms});
+    sink.send_backend(bytes);
+}
+
+template <packet_sink Sink>
+void packet_agent::enqueue(instant now, endpoint from,
+    agent_packet const& message, flow_packet const& packet, Sink& sink) {
+    auto const* route = view_.route_of(message.flow.service);
+    internal::queued_opening opening{.balancer = from,
+        .message = message,
+        .packet = {packet.bytes.begin(), packet.bytes.end()},
+        .begun = now - std::chrono::milliseconds(message.age_ms),
+        .goal = options_.usual_goal};
+    opening.message.packet = {};
+    if (route != nullptr && route->goal > duration{0}) {
+        opening.goal = route->goal;
+        opening.priority = route->priority;
+    }
+    auto const turn = service_time_ / std::max<std::size_t>(slots(), 1);
+    if (!queue_.push(now, std::move(opening), turn))
+        return decline(now, from, message, refusal::overloaded, sink);
+    sink.log({.number = packet_event::opening_queued,
+        .flow = message.flow,
+        .peer = from,
+        .version = message.route_version,
+        .value = static_cast<std::int64_t>(queue_.size()),
+        .age_ms = message.age_ms});
+    sink.send(from, make_report(agent_packet_kind::queued, message.flow));
+}
+
+// The limits are judged again: routes, drains and failure domains may have
+// changed since the opening was queued.
+template <packet_sink Sink>
+void packet_agent::serve_queue(instant now, Sink& sink) {
+    while (auto const it = queue_.pop_expired(now))
+        sink.log({.number = packet_event::opening_dropped,
+            .flow = it->message.flow,
+            .peer = it->balancer,
+            .why = refusal::overloaded,
+            .age_ms = (now - it->begun) / std::chrono::milliseconds(1)});
+    while (queue_.size() > 0 && in_progress_ < queue_limit()) {
+        auto it = queue_.pop(now, service_time_);
+        auto& message = it->message;
+        message.age_ms = static_cast<std::uint16_t>(
+            (now - it->begun) / std::chrono::milliseconds(1));
+        message.packet = it->packet;
+        auto const why = judge(now, message);
+        if (why == refusal::none)
+            take(now, it->balancer, message, it->packet, sink);
+        else
+            decline(now, it->balancer, message, why, sink);
+    }
+}
+
+} // namespace radishspread
+
+#endif
--- a/packages/core/include/radishspread/core/rs_fleet_view.hpp
+++ b/packages/core/include/radishspread/core/rs_fleet_view.hpp
@@ -64,12 +64,11 @@
     /// Members of a service, those gone less than `gone_limit` ago included.
     [[nodiscard]] std::span<member const* const> members_of(
         std::uint32_t service) const;
-    /// Members of all services.
-    [[nodiscard]] std::span<member const* const> all_members() const {
-        return all_;
-    }
     /// Latest started member whose backend server has the address, or null.
     [[nodiscard]] member const* find(endpoint backend) const;
+    /// Members whose backend servers run on the host.
+    [[nodiscard]] std::span<member const* const> members_at(
+        std::uint32_t host) const;
     /// True if the member may be given openings.
     [[nodiscard]] bool is_eligible(instant now, member const& it) const;
     /// Time at which a taken-out failure domain came back; default if never.
@@ -78,6 +77,9 @@
     /// Announcements that end unannounced this close together have lapsed.
     static constexpr duration lapse_window = std::chrono::seconds(1);
     static constexpr duration gone_limit = std::chrono::seconds(60);
+    /// Time for which the revision of a removed item is kept: a peer that was
+    /// parted for an hour may still have the item.
+    static constexpr duration removed_limit = std::chrono::hours(2);
     static constexpr duration lapse_hold = std::chrono::milliseconds(2500);
 
 private:
@@ -90,10 +92,17 @@
     [[nodiscard]] backend_announcement announcement_of(
         instant now, member const& it) const;
 
-    std::map<std::string, revision, std::less<>> revisions_;
+    /// Newest revision of an item.
+    struct held_revision {
+        radishspread::revision number = 0;
+        instant removed_at; ///< Default: the item is there.
+    };
+
+    std::map<std::string, held_revision, std::less<>> revisions_;
     std::map<std::string, member, std::less<>> members_;
     std::unordered_map<std::uint32_t, std::vector<member const*>> by_service_;
-    std::vector<member const*> all_;
+    std::unordered_map<std::uint32_t, std::vector<member const*>> by_host_;
+    instant next_prune_;
     std::map<std::string, std::uint32_t, std::less<>> domains_out_;
     std::map<std::uint32_t, instant> returned_;
     std::map<endpoint, route_entry> routes_;
--- a/packages/core/include/radishspread/core/rs_packet_agent.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_agent.hpp
@@ -167,5 +167,6 @@
 } // namespace radishspread
 
 #include <radishspread/core/internal/rs_packet_agent_impl.hpp>
+#include <radishspread/core/internal/rs_packet_opening_impl.hpp>
 
 #endif
--- a/packages/core/include/radishspread/core/rs_packet_events.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_events.hpp
@@ -138,6 +138,14 @@
             "log lines left out; value: lines"},
     }};
 
+/// Index of the event in `packet_events`; `packet_event::count` if it has none.
+[[nodiscard]] constexpr std::size_t packet_event_index(std::uint16_t number) {
+    std::size_t n = 0;
+    while (n != packet_events.size() && packet_events[n].number != number)
+        ++n;
+    return n;
+}
+
 } // namespace radishspread
 
 #endif
--- a/packages/core/src/rs_fleet_view.cpp
+++ b/packages/core/src/rs_fleet_view.cpp
@@ -6,9 +6,9 @@
 
 bool fleet_view::apply(instant now, fleet_change const& change) {
     auto& held = revisions_[change.name];
-    if (change.revision <= held)
+    if (change.revision <= held.number)
         return false;
-    held = change.revision;
+    held = {.number = change.revision};
     auto const* routes = std::get_if<route_set>(&change.content);
     auto const* backend = std::get_if<backend_announcement>(&change.content);
     auto const* domain = std::get_if<domain_taken_out>(&change.content);
@@ -19,6 +19,7 @@
     } else if (domain != nullptr) {
         domains_out_[change.name] = domain->domain;
     } else {
+        held.removed_at = now;
         remove(now, change.name);
     }
     return true;
@@ -76,9 +77,13 @@
     std::set<std::string, std::less<>> const& names, revision as_of) {
     for (auto it = revisions_.lower_bound(prefix);
          it != revisions_.end() && it->first.starts_with(prefix); ++it) {
-        if (it->second > as_of || names.contains(it->first))
+        auto& held = it->second;
+        if (held.number > as_of || names.contains(it->first))
             continue;
-        it->second = as_of;
+        held.number = as_of;
+        if (held.removed_at != instant{})
+            continue;
+        held.removed_at = now;
         remove(now, it->first);
     }
 }
@@ -94,7 +99,7 @@
     std::vector<fleet_change> out;
     for (auto it = revisions_.lower_bound(prefix);
          it != revisions_.end() && it->first.starts_with(prefix); ++it) {
-        fleet_change item{.name = it->first, .revision = it->second};
+        fleet_change item{.name = it->first, .revision = it->second.number};
         auto const found = members_.find(item.name);
         auto const domain = domains_out_.find(item.name);
         if (item.name == routes_name_)
@@ -134,14 +139,21 @@
     };
     if (std::erase_if(members_, is_over) > 0)
         index_members();
+    if (now < next_prune_)
+        return;
+    next_prune_ = now + std::chrono::minutes(1);
+    std::erase_if(revisions_, [&](auto const& it) {
+        auto const removed_at = it.second.removed_at;
+        return removed_at != instant{} && now - removed_at > removed_limit;
+    });
 }
 
 void fleet_view::index_members() {
     by_service_.clear();
-    all_.clear();
+    by_host_.clear();
     for (auto const& [name, it] : members_) {
         by_service_[it.service].push_back(&it);
-        all_.push_back(&it);
+        by_host_[it.backend.address].push_back(&it);
     }
 }
 
@@ -177,16 +189,24 @@
 
 fleet_view::member const* fleet_view::find(endpoint backend) const {
     member const* found = nullptr;
-    for (auto const& [name, it] : members_) {
-        if (it.backend != backend)
+    for (auto const* it : members_at(backend.address)) {
+        if (it->backend != backend)
             continue;
-        if (found == nullptr || (found->is_gone && !it.is_gone) ||
-            (found->is_gone == it.is_gone && it.born > found->born))
-            found = &it;
+        if (found == nullptr || (found->is_gone && !it->is_gone) ||
+            (found->is_gone == it->is_gone && it->born > found->born))
+            found = it;
     }
     return found;
 }
 
+std::span<fleet_view::member const* const> fleet_view::members_at(
+    std::uint32_t host) const {
+    auto const it = by_host_.find(host);
+    if (it == by_host_.end())
+        return {};
+    return it->second;
+}
+
 bool fleet_view::is_eligible(instant now, member const& it) const {
     return !(it.is_gone && now >= it.gone_at) && !it.is_draining &&
            !is_out(it.domain);
--- a/packages/core/src/rs_packet_balancer.cpp
+++ b/packages/core/src/rs_packet_balancer.cpp
@@ -14,8 +14,8 @@
 }
 
 fleet_view::member const* packet_balancer::find_member(endpoint agent) const {
-    for (auto const* it : view_.all_members())
-        if (it->backend.address == agent.address && !it->is_gone)
+    for (auto const* it : view_.members_at(agent.address))
+        if (!it->is_gone)
             return it;
     return nullptr;
 }
--- a/packages/core/tests/rs_fleet_view_test.cpp
+++ b/packages/core/tests/rs_fleet_view_test.cpp
@@ -7,14 +7,6 @@
 using namespace radishspread;
 using namespace radishspread::test;
 
-namespace {
-
-instant at(int ms) {
-    return instant(std::chrono::hours(1)) + std::chrono::milliseconds(ms);
-}
-
-} // namespace
-
 TEST_GROUP(fleet_view) {
     fleet_view view;
 
@@ -114,3 +106,32 @@
     for (auto const* it : view.members_of(test_service))
         CHECK(!view.is_eligible(at(101), *it));
 }
+
+// A peer that is behind brought a removed backend server back, and at 1,700
+// replaced hosts a day the revisions of removed ones grew without a bound.
+TEST(fleet_view, removed_items_stay_removed_and_are_forgotten_in_the_end) {
+    view.apply(at(0), announcement_of(1, 2));
+    view.apply(at(1), {.name = "backend/1", .revision = 5});
+    CHECK(!view.apply(at(2), announcement_of(1, 2)));
+    auto const later = at(0) + fleet_view::removed_limit;
+    view.tick(later);
+    CHECK(!view.apply(later, announcement_of(1, 2)));
+    view.tick(later + std::chrono::minutes(2));
+    CHECK(view.apply(later, announcement_of(1, 2)));
+}
+
+TEST(fleet_view, members_of_a_host_are_found_by_its_address) {
+    view.apply(at(0), announcement_of(1, 2));
+    view.apply(at(0), announcement_of(2, 3));
+    CHECK_EQUAL(1, view.members_at(backend_address(1).address).size());
+    CHECK(view.members_at(0x7f000001).empty());
+}
+
+// An item that came and went between two reads is not brought back by a peer
+// that saw it in between.
+TEST(fleet_view, complete_read_outdates_what_was_there_before_it) {
+    view.apply(at(0), announcement_of(1, 2));
+    view.apply(at(1), {.name = "backend/1", .revision = 5});
+    view.finish_read(at(2), "backend/", {}, 100);
+    CHECK(!view.apply(at(3), announcement_of(1, 50)));
+}
--- a/packages/core/tests/rs_item_follower_test.cpp
+++ b/packages/core/tests/rs_item_follower_test.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-instant at(int ms) {
-    return instant(std::chrono::hours(1)) + std::chrono::milliseconds(ms);
-}
-
 constexpr endpoint peer_one{.address = 0x0a000101, .port = 7720};
 constexpr endpoint peer_two{.address = 0x0a000102, .port = 7720};
 
--- /dev/null
+++ b/packages/core/tests/rs_packet_agent_fixture.hpp
@@ -0,0 +1,97 @@
+#ifndef RADISHSPREAD_CORE_TESTS_RS_PACKET_AGENT_FIXTURE_HPP
+#define RADISHSPREAD_CORE_TESTS_RS_PACKET_AGENT_FIXTURE_HPP
+
+#include "rs_packet_sink.hpp"
+
+#include <radishspread/core/rs_packet_agent.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+namespace radishspread::test {
+
+inline constexpr endpoint balancer_one{.address = 0x0a000101, .port = 7720};
+inline constexpr endpoint balancer_two{.address = 0x0a000102, .port = 7720};
+
+/// An agent core beside a backend server with two slots.
+struct packet_agent_fixture : Utest {
+    packet_recorder sink;
+    packet_agent core{packet_agent_options{.service = test_service,
+        .domain = test_domain,
+        .backend = backend_address(1),
+        .started_unix_ms = 10'000}};
+
+    void setup() override {
+        core.start(at(0), sink);
+        core.view().apply(at(0), announcement_of(1, 1));
+        core.view_changed(at(0), sink);
+    }
+
+    /// Hands the core a message that contains `packet`.
+    void pass(packet_agent& to, instant now, endpoint from,
+        agent_packet const& message, flow_packet const& packet) {
+        to.handle(now, from, message, &packet, sink);
+    }
+
+    agent_packet message(agent_packet_kind kind, packet_flow const& flow,
+        std::uint64_t version = 5) {
+        return {.kind = kind,
+            .service = test_service,
+            .route_version = version,
+            .flow = flow,
+            .packet = packet_bytes};
+    }
+
+    /// A question that everyone has to answer; returns the answer.
+    agent_packet ask(packet_agent& to, packet_flow const& flow, int ms,
+        std::uint32_t acknowledged = 101) {
+        auto question = message(agent_packet_kind::locate, flow);
+        question.packet = {};
+        question.must_answer = true;
+        question.handshake = acknowledged;
+        to.handle(at(ms), balancer_two, question, nullptr, sink);
+        return sink.sent.back().message;
+    }
+
+    void open(packet_flow const& flow, int ms, std::uint64_t version = 5) {
+        pass(core, at(ms), balancer_one,
+            message(agent_packet_kind::open, flow, version),
+            opening_packet(flow));
+    }
+
+    /// Opens the flow and lets the backend server take it.
+    void hold(packet_flow const& flow, int ms, std::uint32_t handshake = 100) {
+        open(flow, ms);
+        core.handle_backend(at(ms), opening_reply_of(flow, handshake), sink);
+    }
+
+    void carry(packet_flow const& flow, std::uint32_t acknowledged, int ms,
+        agent_packet_kind kind = agent_packet_kind::carry) {
+        pass(core, at(ms), balancer_two, message(kind, flow),
+            caller_packet_of(flow, acknowledged));
+    }
+
+    /// An opening that every agent has declined before.
+    void force_open(packet_flow const& flow, int ms, std::uint16_t age_ms = 0) {
+        auto forced = message(agent_packet_kind::open, flow);
+        forced.is_forced = true;
+        forced.age_ms = age_ms;
+        pass(core, at(ms), balancer_one, forced, opening_packet(flow));
+    }
+
+    /// Takes all slots, with the one that queued openings may use on top.
+    void fill(int ms) {
+        for (std::uint16_t n = 101; n <= 103; ++n)
+            force_open(flow_of(n), ms);
+    }
+
+    /// The backend server responds on the flow, which frees its slot.
+    void respond(std::uint16_t port, int ms) {
+        core.handle_backend(at(ms), backend_packet_of(flow_of(port)), sink);
+    }
+
+    refusal last_refusal() { return sink.sent.back().message.why; }
+};
+
+} // namespace radishspread::test
+
+#endif
--- /dev/null
+++ b/packages/core/tests/rs_packet_balancer_fixture.hpp
@@ -0,0 +1,98 @@
+#ifndef RADISHSPREAD_CORE_TESTS_RS_PACKET_BALANCER_FIXTURE_HPP
+#define RADISHSPREAD_CORE_TESTS_RS_PACKET_BALANCER_FIXTURE_HPP
+
+#include "rs_packet_sink.hpp"
+
+#include <radishspread/core/rs_packet_balancer.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+namespace radishspread::test {
+
+/// A balancer core that knows three agents, and what they answer.
+struct packet_balancer_fixture : Utest {
+    packet_recorder sink;
+    packet_balancer core{packet_balancer_options{
+        .domain = test_domain, .agent_port = agent_port}};
+
+    void setup() override {
+        core.start(at(0), sink);
+        core.view().apply(at(0), routes_of(5, 1));
+        for (std::uint32_t n = 1; n <= 3; ++n)
+            core.view().apply(at(0), announcement_of(n, 1 + n));
+        core.view_confirmed(at(0), at(0), sink);
+    }
+
+    /// Opens a flow; returns the agent that was asked.
+    endpoint open(packet_flow const& flow, int ms) {
+        core.handle_caller(at(ms), opening_packet(flow), sink);
+        return sink.sent.back().to;
+    }
+
+    void answer(endpoint from, agent_packet const& message, int ms) {
+        auto const packet = opening_packet(message.flow);
+        core.handle(at(ms), from, message,
+            message.packet.empty() ? nullptr : &packet, sink);
+    }
+
+    void hold(endpoint agent, packet_flow const& flow, int ms,
+        std::uint32_t handshake = 100) {
+        answer(agent,
+            {.kind = agent_packet_kind::held,
+                .service = test_service,
+                .route_version = 5,
+                .slots = 2,
+                .handshake = handshake,
+                .flow = flow},
+            ms);
+    }
+
+    void decline(endpoint agent, packet_flow const& flow, refusal why, int ms,
+        std::uint64_t version = 5) {
+        answer(agent,
+            {.kind = agent_packet_kind::declined,
+                .why = why,
+                .service = test_service,
+                .route_version = version,
+                .in_progress = 2,
+                .slots = 2,
+                .flow = flow,
+                .packet = packet_bytes},
+            ms);
+    }
+
+    void queue(endpoint agent, packet_flow const& flow, int ms) {
+        answer(agent,
+            {.kind = agent_packet_kind::queued,
+                .service = test_service,
+                .route_version = 5,
+                .in_progress = 3,
+                .slots = 2,
+                .flow = flow},
+            ms);
+    }
+
+    /// Lets every agent decline the opening; returns the one that it then asks
+    /// to queue it.
+    endpoint decline_all(packet_flow const& flow, int ms) {
+        for (int n = 0; n != 3; ++n)
+            decline(sink.sent.back().to, flow, refusal::overloaded, ms);
+        return sink.sent.back().to;
+    }
+
+    void deny_all(packet_flow const& flow, int ms) {
+        for (std::uint32_t n = 1; n <= 3; ++n)
+            answer(agent_address(n),
+                {.kind = agent_packet_kind::not_held,
+                    .why = refusal::not_held,
+                    .was_located = true,
+                    .service = test_service,
+                    .route_version = 5,
+                    .flow = flow},
+                ms);
+    }
+};
+
+} // namespace radishspread::test
+
+#endif
--- a/packages/core/tests/rs_packet_sink.hpp
+++ b/packages/core/tests/rs_packet_sink.hpp
@@ -55,6 +55,11 @@
     void clear() { *this = {}; }
 };
 
+/// Time of a test.
+inline instant at(int ms) {
+    return instant(std::chrono::hours(1)) + std::chrono::milliseconds(ms);
+}
+
 inline constexpr std::uint16_t agent_port = 7000;
 inline constexpr endpoint service_address{.address = 0xc6120001, .port = 443};
 inline constexpr std::uint32_t test_service = 11;
--- a/packages/runtime/include/radishspread/runtime/rs_packet_event_log.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_event_log.hpp
@@ -20,6 +20,8 @@
     explicit packet_event_log(std::string process, int fd = 1);
 
     void write(instant now, packet_log const& event);
+    /// The same for the event at `index` of `packet_events`.
+    void write(instant now, std::size_t index, packet_log const& event);
     /// Reports lines left out and writes what is queued.
     void tick(instant now);
     void flush() { lines_.flush(); }
--- a/packages/runtime/src/rs_packet_event_log.cpp
+++ b/packages/runtime/src/rs_packet_event_log.cpp
@@ -64,12 +64,14 @@
     : process_(std::move(process)), lines_(fd) {}
 
 void packet_event_log::write(instant now, packet_log const& event) {
-    auto const found = std::find_if(packet_events.begin(), packet_events.end(),
-        [&](auto const& it) { return it.number == event.number; });
-    if (found == packet_events.end())
-        return;
-    auto& state = states_[static_cast<std::size_t>(
-        std::distance(packet_events.begin(), found))];
+    auto const index = packet_event_index(event.number);
+    if (index < packet_events.size())
+        write(now, index, event);
+}
+
+void packet_event_log::write(
+    instant now, std::size_t index, packet_log const& event) {
+    auto& state = states_[index];
     if (now - state.window_start >= window) {
         state.window_start = now;
         state.written = 0;
@@ -79,7 +81,7 @@
         return;
     }
     ++state.written;
-    write_line(now, *found, event);
+    write_line(now, packet_events[index], event);
 }
 
 void packet_event_log::write_line(instant now,
--- a/packages/runtime/src/rs_packet_shell.cpp
+++ b/packages/runtime/src/rs_packet_shell.cpp
@@ -36,13 +36,11 @@
 }
 
 void packet_shell::log(packet_log const& event) {
-    auto const found = std::find_if(packet_events.begin(), packet_events.end(),
-        [&](auto const& it) { return it.number == event.number; });
-    if (found != packet_events.end())
-        event_counters_[static_cast<std::size_t>(
-                            std::distance(packet_events.begin(), found))]
-            ->add();
-    log_.write(now_, event);
+    auto const index = packet_event_index(event.number);
+    if (index == packet_events.size())
+        return;
+    event_counters_[index]->add();
+    log_.write(now_, index, event);
 }
 
 void packet_shell::report_malformed(endpoint from) {
