A read that began during a search confirms its denials

The holder of a flow that is open when the search begins was announced before that, so a read that began later knows it. Change: a read counts from the begin of the search on.

--- a/packages/core/include/radishspread/core/internal/rs_flow_search.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_flow_search.hpp
@@ -27,13 +27,15 @@
 struct flow_search {
     std::uint32_t service = 0;
     search_stage stage = search_stage::near;
-    instant started;
+    instant begun;
+    instant started;  ///< Last packet of the caller.
     instant next_ask; ///< Of those that have not denied the flow.
     unsigned repeat_factor = 1;
     std::uint32_t first_list = 0; ///< Lists from this one on cover it; 0: none.
     instant asked_all_at; ///< First question to all agents; default: not yet.
     instant denied_at; ///< All agents known denied it first; default: not yet.
-    bool is_confirmed = false;      ///< A read that began after that has ended.
+    bool awaits_read = false;  ///< Denied before a read has confirmed it.
+    bool is_confirmed = false; ///< A read that began after `begun` has ended.
     std::uint32_t acknowledged = 0; ///< Of the caller's last packet.
     boost::container::small_vector<endpoint, 16> denied;
     /// Agents that got the caller's last packet.
--- a/packages/core/include/radishspread/core/internal/rs_packet_search_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_search_impl.hpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace radishspread {
 
@@ -20,6 +21,7 @@
     it.tried.clear();
     if (!is_new)
         return;
+    it.begun = now;
     if (searches_.size() < options_.min_listed_searches)
         return ask(now, flow, it, sink);
     it.next_ask = std::max(now, last_list_at_ + options_.list_interval);
@@ -126,12 +128,13 @@
     internal::flow_search& it, Sink& sink) {
     if (it.denied.empty() || !is_denied_by_all(now, it))
         return false;
-    if (it.denied_at == instant{}) {
+    if (it.denied_at == instant{})
         it.denied_at = now;
-        sink.refresh_members();
+    if (!it.is_confirmed) {
+        if (!std::exchange(it.awaits_read, true))
+            sink.refresh_members();
+        return false;
     }
-    if (!it.is_confirmed)
-        return false; // The read is still to come.
     sink.log({.number = packet_event::flow_reset,
         .flow = flow,
         .why = refusal::not_held,
@@ -142,18 +145,18 @@
     return true;
 }
 
-// Agents that the read has added are still to be asked; those that have denied
-// a flow are not.
+// The holder of a flow that was open when the search began was announced before
+// that, so a read that began later knows it. Agents that the read has added are
+// still to be asked.
 template <packet_sink Sink>
 void packet_balancer::confirm_denials(
     instant now, instant read_started, Sink& sink) {
     for (auto entry = searches_.begin(); entry != searches_.end();) {
         auto& [flow, it] = *entry;
-        bool const is_newer =
-            it.denied_at != instant{} && it.denied_at < read_started;
+        bool const is_newer = !it.is_confirmed && it.begun < read_started;
         it.is_confirmed = it.is_confirmed || is_newer;
         bool const is_over = is_newer && settle(now, flow, it, sink);
-        if (is_newer && !is_over)
+        if (is_newer && it.denied_at != instant{} && !is_over)
             it.next_ask = now;
         entry = is_over ? searches_.erase(entry) : std::next(entry);
     }
