Search tests share what agents answer; denials are looked up first

Change: fixture functions deny, deny_all with a count, pass_time_with_reads; the lists' group uses the fixture; the denial is looked up first. Conclusion: no change of behaviour.

--- a/packages/core/src/rs_packet_balancer.cpp
+++ b/packages/core/src/rs_packet_balancer.cpp
@@ -37,12 +37,14 @@
     auto const members = view_.members_of(it.service);
     return std::all_of(members.begin(), members.end(), [&](auto const* member) {
         auto const agent = agent_of(*member);
+        if (it.was_denied_by(agent))
+            return true;
         // A backend server gone for long has left its flows; one whose agent
         // has been silent for longer than any restart cannot serve them.
-        bool const cannot_serve =
-            (member->is_gone && now - member->gone_at >= options_.gone_grace) ||
-            (had_time && loads_.is_silent(now, agent, options_.silence_limit));
-        return cannot_serve || it.was_denied_by(agent);
+        return (member->is_gone &&
+                   now - member->gone_at >= options_.gone_grace) ||
+               (had_time &&
+                   loads_.is_silent(now, agent, options_.silence_limit));
     });
 }
 
--- a/packages/core/tests/rs_packet_balancer_fixture.hpp
+++ b/packages/core/tests/rs_packet_balancer_fixture.hpp
@@ -80,16 +80,31 @@
         return sink.sent.back().to;
     }
 
-    void deny_all(packet_flow const& flow, int ms) {
-        for (std::uint32_t n = 1; n <= 3; ++n)
-            answer(agent_address(n),
-                {.kind = agent_packet_kind::not_held,
-                    .why = refusal::not_held,
-                    .was_located = true,
-                    .service = test_service,
-                    .route_version = 5,
-                    .flow = flow},
-                ms);
+    void deny(std::uint32_t agent, packet_flow const& flow, int ms,
+        bool is_unsure = false) {
+        answer(agent_address(agent),
+            {.kind = agent_packet_kind::not_held,
+                .why = refusal::not_held,
+                .was_located = true,
+                .is_unsure = is_unsure,
+                .service = test_service,
+                .route_version = 5,
+                .flow = flow},
+            ms);
+    }
+
+    /// The agents 1 to `count` deny the flow.
+    void deny_all(packet_flow const& flow, int ms, std::uint32_t count = 3) {
+        for (std::uint32_t n = 1; n <= count; ++n)
+            deny(n, flow, ms);
+    }
+
+    /// Lets time pass, with a read of the configuration each 20 ms.
+    void pass_time_with_reads(int from, int to) {
+        for (int ms = from; ms < to; ms += 20) {
+            core.tick(at(ms), sink);
+            core.view_confirmed(at(ms + 1), at(ms), sink);
+        }
     }
 };
 
--- a/packages/core/tests/rs_packet_search_test.cpp
+++ b/packages/core/tests/rs_packet_search_test.cpp
@@ -57,14 +57,7 @@
     core.handle_caller(at(0), caller_packet_of(flow_of(1), 7), sink);
     core.tick(at(20), sink);
     for (int round = 0; round != 3; ++round) {
-        for (std::uint32_t n = 1; n <= 2; ++n)
-            answer(agent_address(n),
-                {.kind = agent_packet_kind::not_held,
-                    .was_located = true,
-                    .service = test_service,
-                    .route_version = 5,
-                    .flow = flow_of(1)},
-                2);
+        deny_all(flow_of(1), 2, 2);
         core.view_confirmed(at(20), at(3), sink);
     }
     CHECK(sink.resets.empty());
@@ -98,14 +91,7 @@
     CHECK(sink.sent.back().message.must_answer);
     CHECK(sink.sent.back().packet.empty());
     sink.clear();
-    answer(agent_address(2),
-        {.kind = agent_packet_kind::not_held,
-            .was_located = true,
-            .is_unsure = true,
-            .service = test_service,
-            .route_version = 5,
-            .flow = flow_of(1)},
-        31);
+    deny(2, flow_of(1), 31, true);
     CHECK_EQUAL(1, sink.sent.size());
     CHECK(sink.sent[0].to == agent_address(2));
     CHECK_EQUAL(packet_bytes.size(), sink.sent[0].packet.size());
@@ -183,22 +169,12 @@
     flow_is_reset_once_the_silent_agent_is_gone_for_long) {
     core.handle_caller(at(0), caller_packet_of(flow_of(1), 7), sink);
     core.tick(at(20), sink);
-    for (std::uint32_t n = 1; n <= 2; ++n)
-        answer(agent_address(n),
-            {.kind = agent_packet_kind::not_held,
-                .was_located = true,
-                .service = test_service,
-                .route_version = 5,
-                .flow = flow_of(1)},
-            22);
+    deny_all(flow_of(1), 22, 2);
     core.view().apply(at(30), {.name = "backend/3", .revision = 9});
     for (int ms = 40; ms < 2000; ms += 20)
         core.tick(at(ms), sink);
     CHECK(sink.resets.empty());
-    for (int ms = 2000; ms < 2900; ms += 20) {
-        core.tick(at(ms), sink);
-        core.view_confirmed(at(ms + 1), at(ms), sink);
-    }
+    pass_time_with_reads(2000, 2900);
     CHECK_EQUAL(1, sink.resets.size());
 }
 
@@ -206,14 +182,7 @@
 TEST(packet_balancer_search, silent_agent_is_asked_again_without_a_packet) {
     core.handle_caller(at(0), caller_packet_of(flow_of(1), 7), sink);
     core.tick(at(20), sink);
-    for (std::uint32_t n = 1; n <= 2; ++n)
-        answer(agent_address(n),
-            {.kind = agent_packet_kind::not_held,
-                .was_located = true,
-                .service = test_service,
-                .route_version = 5,
-                .flow = flow_of(1)},
-            22);
+    deny_all(flow_of(1), 22, 2);
     sink.clear();
     core.tick(at(150), sink);
     CHECK_EQUAL(1, sink.sent.size());
@@ -226,29 +195,16 @@
     auto const seek = [&](std::uint16_t port, int ms) {
         core.handle_caller(at(ms), caller_packet_of(flow_of(port), 7), sink);
         core.tick(at(ms + 11), sink);
-        for (std::uint32_t n = 1; n <= 2; ++n)
-            answer(agent_address(n),
-                {.kind = agent_packet_kind::not_held,
-                    .was_located = true,
-                    .service = test_service,
-                    .route_version = 5,
-                    .flow = flow_of(port)},
-                ms + 12);
-    };
-    auto const wait = [&](int from, int to) {
-        for (int ms = from; ms < to; ms += 20) {
-            core.tick(at(ms), sink);
-            core.view_confirmed(at(ms + 1), at(ms), sink);
-        }
+        deny_all(flow_of(port), ms + 12, 2);
     };
     seek(1, 0);
-    wait(20, 1400);
+    pass_time_with_reads(20, 1400);
     CHECK(sink.resets.empty());
-    wait(1400, 2400);
+    pass_time_with_reads(1400, 2400);
     CHECK_EQUAL(1, sink.resets.size());
     // The next one need not wait as long.
     seek(2, 2500);
-    wait(2520, 2800);
+    pass_time_with_reads(2520, 2800);
     CHECK_EQUAL(2, sink.resets.size());
 }
 
@@ -259,33 +215,16 @@
     hold(agent_address(1), flow_of(1), 21);
     core.handle_caller(at(3000), caller_packet_of(flow_of(2), 7), sink);
     core.tick(at(3011), sink);
-    for (std::uint32_t n = 1; n <= 2; ++n)
-        answer(agent_address(n),
-            {.kind = agent_packet_kind::not_held,
-                .was_located = true,
-                .service = test_service,
-                .route_version = 5,
-                .flow = flow_of(2)},
-            3012);
-    for (int ms = 3020; ms < 3400; ms += 20) {
-        core.tick(at(ms), sink);
-        core.view_confirmed(at(ms + 1), at(ms), sink);
-    }
+    deny_all(flow_of(2), 3012, 2);
+    pass_time_with_reads(3020, 3400);
     CHECK(sink.resets.empty());
 }
 
-TEST_GROUP(packet_balancer_lists) {
+TEST_GROUP_BASE(packet_balancer_lists, packet_balancer_fixture) {
     static constexpr std::uint16_t flows = 20;
-    packet_recorder sink;
-    packet_balancer core{packet_balancer_options{
-        .domain = test_domain, .agent_port = agent_port}};
 
     void setup() override {
-        core.start(at(0), sink);
-        core.view().apply(at(0), routes_of(5, 1));
-        for (std::uint32_t n = 1; n <= 3; ++n)
-            core.view().apply(at(0), announcement_of(n, 1 + n));
-        core.view_confirmed(at(0), at(0), sink);
+        packet_balancer_fixture::setup();
         for (std::uint16_t n = 1; n <= flows; ++n)
             core.handle_caller(at(100), caller_packet_of(flow_of(n), 7), sink);
         sink.clear();
