--- a/packages/runtime/include/radishspread/runtime/rs_packet_agent_process.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_agent_process.hpp
@@ -2,10 +2,8 @@
 #define RADISHSPREAD_RUNTIME_RS_PACKET_AGENT_PROCESS_HPP
 
 #include <radishspread/core/rs_packet_agent.hpp>
-#include <radishspread/runtime/rs_packet_platform.hpp>
-#include <radishspread/runtime/rs_packet_shell.hpp>
+#include <radishspread/runtime/rs_packet_process.hpp>
 #include <radishspread/runtime/rs_process.hpp>
-#include <radishspread/runtime/rs_view_sources.hpp>
 #include <radishspread/wire/rs_agent_packet_codec.hpp>
 
 #include <algorithm>
@@ -15,16 +13,21 @@
 namespace radishspread::runtime {
 
 /// An agent of packet flows on a platform: drives the core.
-template <packet_platform Platform> class packet_agent_process {
+template <packet_platform Platform>
+class packet_agent_process : public packet_process<Platform, packet_agent> {
+    using base = packet_process<Platform, packet_agent>;
+    using base::core_;
+    using base::shell_;
+    using base::sources_;
+
 public:
     explicit packet_agent_process(packet_shell& shell)
-        : shell_(shell), core_(make_options(shell.settings())),
-          sources_(shell, core_.view(), Platform::prefixes(),
+        : base(
+              shell, make_options(shell.settings()),
               {.wait = watch_wait, .collect = collect, .seed = random_number()},
               collect_at_start,
-              [this](item_page const& page, bool) { view_changed(page); }) {
-        sources_.serve();
-    }
+              [this](item_page const& page, bool) { view_changed(page); },
+              agent_side_socket) {}
 
     [[nodiscard]] int run() {
         core_.start(shell_.enter(), *this);
@@ -40,27 +43,6 @@
             Platform::readiness_path());
     }
 
-    // Actions of the core.
-    void send(endpoint to, agent_packet const& message) {
-        shell_.send(to, message);
-    }
-    void send_caller(packet_flow const& flow, std::span<std::byte const> data) {
-        endpoint const to{.address = flow.caller.address,
-            .port = shell_.settings().packet_address.port};
-        shell_.sockets().send(agent_side_socket, to, data);
-    }
-    void send_backend(std::span<std::byte const> data) {
-        shell_.sockets().send(
-            backend_side_socket, shell_.settings().backend_address, data);
-    }
-    void reset_caller(packet_flow const& flow, std::uint32_t sequence) {
-        send_caller(flow, Platform::encode_reset(flow, sequence));
-    }
-    void refresh_view() { sources_.restart(shell_.now()); }
-    void refresh_members() { sources_.reread_members(shell_.now()); }
-    void catch_up(endpoint ahead) { sources_.catch_up(shell_.now(), ahead); }
-    void log(packet_log const& event) { shell_.log(event); }
-
 private:
     // Balancers act on changes too, so an agent may hear of them a little
     // later and make fewer calls.
@@ -82,18 +64,11 @@
     void receive(
         socket_key key, receive_batch const& batch, std::size_t count) {
         auto const now = shell_.now();
-        if (core_.check_pause(now, *this)) {
-            shell_.sockets().drain();
-            return;
-        }
-        for (std::size_t n = 0; n < count; ++n) {
-            bool const is_good =
-                key == backend_side_socket
-                    ? receive_backend(now, batch.data(n))
-                    : receive_balancer(now, batch.from(n), batch.data(n));
-            if (!is_good)
-                shell_.report_malformed(batch.from(n));
-        }
+        this->receive_each(batch, count, [&](endpoint from, auto data) {
+            return key == backend_side_socket
+                       ? receive_backend(now, data)
+                       : receive_balancer(now, from, data);
+        });
     }
 
     bool receive_backend(instant now, std::span<std::byte const> data) {
@@ -131,15 +106,10 @@
         schedule();
     }
 
-    void schedule() {
-        auto const due = sources_.due();
-        shell_.wake_at(
-            due == instant::max() ? std::nullopt : std::optional(due));
-    }
+    void schedule() { this->wake_at(sources_.due()); }
 
     void view_changed(item_page const& page) {
-        for (auto const& it : page.changes)
-            shell_.log(describe(it));
+        this->log_changes(page);
         if (sources_.is_complete())
             core_.view_changed(shell_.now(), *this);
         sources_.set_collect_members(core_.awaits_announcement(shell_.now())
@@ -147,10 +117,6 @@
                                          : collect_members);
         schedule();
     }
-
-    packet_shell& shell_;
-    packet_agent core_;
-    view_sources<Platform> sources_;
 };
 
 } // namespace radishspread::runtime
--- a/packages/runtime/include/radishspread/runtime/rs_packet_balancer_process.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_balancer_process.hpp
@@ -2,10 +2,8 @@
 #define RADISHSPREAD_RUNTIME_RS_PACKET_BALANCER_PROCESS_HPP
 
 #include <radishspread/core/rs_packet_balancer.hpp>
-#include <radishspread/runtime/rs_packet_platform.hpp>
-#include <radishspread/runtime/rs_packet_shell.hpp>
+#include <radishspread/runtime/rs_packet_process.hpp>
 #include <radishspread/runtime/rs_process.hpp>
-#include <radishspread/runtime/rs_view_sources.hpp>
 #include <radishspread/wire/rs_agent_packet_codec.hpp>
 
 #include <optional>
@@ -13,17 +11,23 @@
 namespace radishspread::runtime {
 
 /// A balancer of packet flows on a platform: drives the core.
-template <packet_platform Platform> class packet_balancer_process {
+template <packet_platform Platform>
+class packet_balancer_process
+    : public packet_process<Platform, packet_balancer> {
+    using base = packet_process<Platform, packet_balancer>;
+    using base::core_;
+    using base::shell_;
+    using base::sources_;
+
 public:
     explicit packet_balancer_process(packet_shell& shell)
-        : shell_(shell), core_(make_options(shell.settings())),
-          sources_(shell, core_.view(), Platform::prefixes(),
-              {.seed = random_number()}, collect_members,
+        : base(
+              shell, make_options(shell.settings()), {.seed = random_number()},
+              collect_members,
               [this](item_page const& page, bool is_read) {
                   view_changed(page, is_read);
-              }) {
-        sources_.serve();
-    }
+              },
+              caller_side_socket) {}
 
     [[nodiscard]] int run() {
         core_.start(shell_.enter(), *this);
@@ -36,22 +40,6 @@
             Platform::readiness_path());
     }
 
-    // Actions of the core.
-    void send(endpoint to, agent_packet const& message) {
-        shell_.send(to, message);
-    }
-    void send_caller(packet_flow const& flow, std::span<std::byte const> data) {
-        shell_.sockets().send(caller_side_socket, caller_of(flow), data);
-    }
-    void send_backend(std::span<std::byte const>) {}
-    void reset_caller(packet_flow const& flow, std::uint32_t sequence) {
-        send_caller(flow, Platform::encode_reset(flow, sequence));
-    }
-    void refresh_view() { sources_.restart(shell_.now()); }
-    void refresh_members() { sources_.reread_members(shell_.now()); }
-    void catch_up(endpoint ahead) { sources_.catch_up(shell_.now(), ahead); }
-    void log(packet_log const& event) { shell_.log(event); }
-
 private:
     /// The fabric takes two missed polls to notice that this process leaves.
     static constexpr duration linger = std::chrono::milliseconds(1800);
@@ -67,27 +55,17 @@
             .seed = random_number()};
     }
 
-    [[nodiscard]] endpoint caller_of(packet_flow const& flow) const {
-        return {.address = flow.caller.address,
-            .port = shell_.settings().packet_address.port};
-    }
-
     void receive(
         socket_key key, receive_batch const& batch, std::size_t count) {
         auto const now = shell_.now();
-        if (core_.check_pause(now, *this)) {
-            shell_.sockets().drain();
-            return;
-        }
-        for (std::size_t n = 0; n < count; ++n) {
-            bool const is_good =
-                key == caller_side_socket
-                    ? receive_caller(now, batch.data(n))
-                    : receive_agent(now, batch.from(n), batch.data(n));
-            if (!is_good)
-                shell_.report_malformed(batch.from(n));
-        }
-        schedule();
+        bool const is_handled =
+            this->receive_each(batch, count, [&](endpoint from, auto data) {
+                return key == caller_side_socket
+                           ? receive_caller(now, data)
+                           : receive_agent(now, from, data);
+            });
+        if (is_handled)
+            schedule();
     }
 
     bool receive_caller(instant now, std::span<std::byte const> data) {
@@ -124,22 +102,16 @@
         auto due = sources_.due();
         if (auto const next = core_.next_due(); next)
             due = std::min(due, *next);
-        shell_.wake_at(
-            due == instant::max() ? std::nullopt : std::optional(due));
+        this->wake_at(due);
     }
 
     void view_changed(item_page const& page, bool is_read) {
-        for (auto const& it : page.changes)
-            shell_.log(describe(it));
+        this->log_changes(page);
         if (is_read && sources_.is_complete())
             core_.view_confirmed(
                 shell_.now(), sources_.members_read_at(), *this);
         schedule();
     }
-
-    packet_shell& shell_;
-    packet_balancer core_;
-    view_sources<Platform> sources_;
 };
 
 } // namespace radishspread::runtime
--- /dev/null
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_process.hpp
@@ -0,0 +1,90 @@
+#ifndef RADISHSPREAD_RUNTIME_RS_PACKET_PROCESS_HPP
+#define RADISHSPREAD_RUNTIME_RS_PACKET_PROCESS_HPP
+
+#include <radishspread/runtime/rs_packet_platform.hpp>
+#include <radishspread/runtime/rs_packet_shell.hpp>
+#include <radishspread/runtime/rs_view_sources.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <utility>
+
+namespace radishspread::runtime {
+
+/// What the processes of both roles do for their core: its actions, and the
+/// datagrams that it gets.
+template <packet_platform Platform, class Core> class packet_process {
+public:
+    // Actions of the core.
+    void send(endpoint to, agent_packet const& message) {
+        shell_.send(to, message);
+    }
+    void send_caller(packet_flow const& flow, std::span<std::byte const> data) {
+        endpoint const to{.address = flow.caller.address,
+            .port = shell_.settings().packet_address.port};
+        shell_.sockets().send(caller_socket_, to, data);
+    }
+    void send_backend(std::span<std::byte const> data) {
+        shell_.sockets().send(
+            backend_side_socket, shell_.settings().backend_address, data);
+    }
+    void reset_caller(packet_flow const& flow, std::uint32_t sequence) {
+        send_caller(flow, Platform::encode_reset(flow, sequence));
+    }
+    void refresh_view() { sources_.restart(shell_.now()); }
+    void refresh_members() { sources_.reread_members(shell_.now()); }
+    void catch_up(endpoint ahead) { sources_.catch_up(shell_.now(), ahead); }
+    void log(packet_log const& event) { shell_.log(event); }
+
+protected:
+    /// Packets to callers leave from `caller_socket`.
+    template <class Options>
+    packet_process(packet_shell& shell, Options const& options,
+        item_follower_options following, duration collect_members,
+        change_call const& changed, socket_key caller_socket)
+        : shell_(shell), core_(options),
+          sources_(shell, core_.view(), Platform::prefixes(),
+              std::move(following), collect_members, changed),
+          caller_socket_(caller_socket) {
+        sources_.serve();
+    }
+
+    /// Hands each datagram to `handle`, which returns false if it is malformed.
+    /// After a pause all are discarded, and false is returned.
+    template <class Handle>
+    bool receive_each(
+        receive_batch const& batch, std::size_t count, Handle&& handle) {
+        if (core_.check_pause(shell_.now(), *this)) {
+            shell_.sockets().drain();
+            return false;
+        }
+        for (std::size_t n = 0; n < count; ++n)
+            if (!handle(batch.from(n), batch.data(n)))
+                shell_.report_malformed(batch.from(n));
+        return true;
+    }
+
+    void log_changes(item_page const& page) {
+        for (auto const& it : page.changes)
+            shell_.log(describe(it));
+    }
+
+    /// Wakes up at `due`; never for `instant::max()`.
+    void wake_at(instant due) {
+        shell_.wake_at(
+            due == instant::max() ? std::nullopt : std::optional(due));
+    }
+
+    packet_shell& shell_;
+    Core core_;
+    view_sources<Platform> sources_;
+
+private:
+    socket_key caller_socket_;
+};
+
+} // namespace radishspread::runtime
+
+#endif
