The deployed build leaves out what only flows with route cookies use

Cause: the platform binary linked the whole runtime library for one function, random_number(), whose file also holds the process of cookie flows; so HTTP/2, glog, FlatBuffers, the tracer and a second JSON library were compiled into it and had to be installed. nlohmann-json3-dev was among them and not listed.

Ruled out: only naming the package, which leaves two JSON libraries in the binary and four libraries that it never calls.

Change: random_number has a file of its own; the sources of packet flows are libraries of their own (packet_wire, packet_runtime); RADISHSPREAD_COOKIE_FLOWS, on by default and off in deploy/system.toml, builds the rest. libnghttp2-dev, libgoogle-glog-dev and libflatbuffers-dev leave the list. Libraries that were found by chance of an include are looked for when configuring.

Evidence: scripts/check-packages named nlohmann-json3-dev (44 headers), libgflags-dev and libunwind-dev before, and not after.

--- a/cmake/RadishspreadDependencies.cmake
+++ b/cmake/RadishspreadDependencies.cmake
@@ -1,16 +1,21 @@
-# Third-party libraries, all from Debian packages (scripts/install-packages).
+# Third-party libraries, all from Debian packages. Those of packet flows are
+# listed in deploy/system.toml, the others in scripts/install-packages.
 find_package(PkgConfig REQUIRED)
 find_package(Boost 1.74 REQUIRED)
 find_package(yaml-cpp REQUIRED)
-find_package(glog REQUIRED)
 pkg_check_modules(SODIUM REQUIRED IMPORTED_TARGET libsodium)
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
 pkg_check_modules(GLIB REQUIRED IMPORTED_TARGET glib-2.0 gio-2.0 gio-unix-2.0)
-pkg_check_modules(NGHTTP2 REQUIRED IMPORTED_TARGET libnghttp2)
 pkg_check_modules(SOUP REQUIRED IMPORTED_TARGET libsoup-3.0)
 find_path(CLI11_INCLUDE_DIR CLI/CLI.hpp REQUIRED)
-find_path(FLATBUFFERS_INCLUDE_DIR flatbuffers/flatbuffers.h REQUIRED)
+find_path(RAPIDJSON_INCLUDE_DIR rapidjson/document.h REQUIRED)
 
+if(RADISHSPREAD_COOKIE_FLOWS)
+    find_package(glog REQUIRED)
+    pkg_check_modules(NGHTTP2 REQUIRED IMPORTED_TARGET libnghttp2)
+    find_path(FLATBUFFERS_INCLUDE_DIR flatbuffers/flatbuffers.h REQUIRED)
+    find_path(NLOHMANN_JSON_INCLUDE_DIR nlohmann/json.hpp REQUIRED)
+endif()
 if(RADISHSPREAD_TESTS)
     find_path(CPPUTEST_INCLUDE_DIR CppUTest/TestHarness.h REQUIRED)
     find_library(CPPUTEST_LIBRARY CppUTest REQUIRED)
--- a/packages/runtime/include/radishspread/runtime/rs_packet_agent_process.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_agent_process.hpp
@@ -3,7 +3,7 @@
 
 #include <radishspread/core/rs_packet_agent.hpp>
 #include <radishspread/runtime/rs_packet_process.hpp>
-#include <radishspread/runtime/rs_process.hpp>
+#include <radishspread/runtime/rs_random_number.hpp>
 #include <radishspread/wire/rs_agent_packet_codec.hpp>
 
 #include <algorithm>
--- a/packages/runtime/include/radishspread/runtime/rs_process.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_process.hpp
@@ -95,9 +95,6 @@
     std::optional<metrics_server> metrics_server_;
 };
 
-/// Random 64-bit number, for incarnations and seeds.
-[[nodiscard]] std::uint64_t random_number();
-
 } // namespace radishspread::runtime
 
 #endif
--- a/packages/runtime/src/rs_process.cpp
+++ b/packages/runtime/src/rs_process.cpp
@@ -3,10 +3,10 @@
 #include <radishspread/runtime/rs_clock.hpp>
 #include <radishspread/runtime/rs_datagram_events.hpp>
 #include <radishspread/runtime/rs_process.hpp>
+#include <radishspread/runtime/rs_random_number.hpp>
 #include <radishspread/runtime/rs_runtime_events.hpp>
 
 #include <csignal>
-#include <random>
 
 namespace radishspread::runtime {
 
@@ -21,11 +21,6 @@
 
 } // namespace
 
-std::uint64_t random_number() {
-    std::random_device source;
-    return std::uniform_int_distribution<std::uint64_t>(1)(source);
-}
-
 process::process(config::settings settings, std::string file)
     : settings_(std::move(settings)), file_(std::move(file)),
       now_(monotonic_now()), last_tick_(now_), last_drop_report_(now_),
--- a/packages/runtime/src/rs_run_agent.cpp
+++ b/packages/runtime/src/rs_run_agent.cpp
@@ -2,6 +2,7 @@
 #include <radishspread/runtime/rs_agent_actions.hpp>
 #include <radishspread/runtime/rs_core_driver.hpp>
 #include <radishspread/runtime/rs_late_agent.hpp>
+#include <radishspread/runtime/rs_random_number.hpp>
 #include <radishspread/runtime/rs_run.hpp>
 
 namespace radishspread::runtime {
--- a/packages/runtime/src/rs_run_balancer.cpp
+++ b/packages/runtime/src/rs_run_balancer.cpp
@@ -2,6 +2,7 @@
 #include <radishspread/core/rs_balancer_events.hpp>
 #include <radishspread/runtime/rs_balancer_actions.hpp>
 #include <radishspread/runtime/rs_core_driver.hpp>
+#include <radishspread/runtime/rs_random_number.hpp>
 #include <radishspread/runtime/rs_run.hpp>
 
 namespace radishspread::runtime {
