A balancer that no agent answers leaves the rotation

Callers saw: with one balancer cut off from all other hosts, everything that callers sent through it was lost for as long as the cut lasted.

Cause: the balancer's readiness went by its view alone, which stays in effect while the configuration is out of reach, so the fabric went on sending to it. Its log had hundreds of lines 'no agent answered the opening' (1604) a second for seven seconds; the failed seconds are those of the cut.

Ruled out: refusing the openings at once, since a caller's copy 600 ms later can reach another balancer and a reset uses up one of two retries; going by the configuration service, which is out of reach in other faults too, while the agents answer.

Change: with eight questions and 400 ms without an answer of any agent, the readiness address answers 503. From 200 ms on, four agents in turn are asked every 100 ms, since nothing arrives from callers then; the first answer ends it. Silence during a pause does not count. Events 1614 and 1615.

Test: packet_balancer_contact, 6 tests; with is_serving going by the view alone, balancer_without_any_answer_leaves_the_rotation fails.

--- a/packages/core/include/radishspread/core/internal/rs_agent_loads.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_agent_loads.hpp
@@ -1,6 +1,7 @@
 #ifndef RADISHSPREAD_CORE_INTERNAL_RS_AGENT_LOADS_HPP
 #define RADISHSPREAD_CORE_INTERNAL_RS_AGENT_LOADS_HPP
 
+#include <radishspread/core/internal/rs_agent_contact.hpp>
 #include <radishspread/core/rs_agent_packet.hpp>
 #include <radishspread/core/rs_endpoint.hpp>
 #include <radishspread/core/rs_time.hpp>
@@ -37,6 +38,13 @@
     void pass_over(endpoint agent, instant until);
     /// Something else was heard from the agent.
     void heard(endpoint agent);
+    /// The process was paused: silence until now says nothing of the agents.
+    void forget_silence();
+
+    /// Whether any agent answers.
+    [[nodiscard]] agent_contact const& contact() const { return contact_; }
+    /// Agents in turn, of all that were asked so far; unset if there are none.
+    [[nodiscard]] endpoint next_agent();
 
     /// True if the agent has left several questions unanswered for `limit`.
     [[nodiscard]] bool is_silent(
@@ -52,6 +60,8 @@
 private:
     duration age_limit_;
     std::map<endpoint, agent_load> loads_;
+    agent_contact contact_;
+    endpoint last_in_turn_;
 };
 
 } // namespace radishspread::internal
--- a/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
@@ -26,6 +26,7 @@
     // the routes may have changed meanwhile.
     openings_.clear();
     searches_.clear();
+    loads_.forget_silence();
     is_proven_ = false;
     sink.refresh_view();
     return true;
@@ -326,6 +327,7 @@
         it = is_over ? openings_.erase(it) : std::next(it);
     }
     continue_searches(now, sink);
+    check_contact(now, sink);
     if (now >= next_sweep_) {
         next_sweep_ = now + std::chrono::seconds(1);
         view_.tick(now);
@@ -333,6 +335,30 @@
     }
 }
 
+// A balancer that is cut off still gets what callers send. It leaves the
+// rotation, and then only its own questions can show that it is back. A list of
+// no service is the shortest question that every agent answers.
+template <packet_sink Sink>
+void packet_balancer::check_contact(instant now, Sink& sink) {
+    constexpr int agents_each_tick = 4;
+    auto const& contact = loads_.contact();
+    bool const is_lost = contact.is_lost(now, options_.contact_limit);
+    if (is_lost != has_lost_agents_) {
+        has_lost_agents_ = is_lost;
+        sink.log({.number = is_lost ? packet_event::agents_lost
+                                    : packet_event::agents_regained,
+            .value = contact.silence(now) / std::chrono::milliseconds(1)});
+    }
+    if (!contact.is_doubtful(now, options_.contact_doubt))
+        return;
+    for (int n = 0; n != agents_each_tick; ++n) {
+        auto const agent = loads_.next_agent();
+        loads_.asked(now, agent);
+        sink.send(agent, {.kind = agent_packet_kind::list,
+                             .route_version = view_.route_version()});
+    }
+}
+
 } // namespace radishspread
 
 #endif
--- a/packages/core/include/radishspread/core/rs_packet_balancer.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_balancer.hpp
@@ -59,6 +59,13 @@
         return is_proven_ && view_.has_routes();
     }
 
+    /// True while callers should be sent here: openings may be placed, and some
+    /// agent answers.
+    [[nodiscard]] bool is_serving(instant now) const {
+        return is_ready() &&
+               !loads_.contact().is_lost(now, options_.contact_limit);
+    }
+
     [[nodiscard]] fleet_view& view() { return view_; }
     [[nodiscard]] fleet_view const& view() const { return view_; }
     [[nodiscard]] std::size_t flows() const { return flows_.size(); }
@@ -167,6 +174,8 @@
     void note_agent(instant now, packet_flow const& flow, endpoint agent,
         std::uint32_t handshake);
     void sweep(instant now);
+    /// Notices that no agent answers, or that one does again.
+    template <packet_sink Sink> void check_contact(instant now, Sink& sink);
 
     packet_balancer_options options_;
     fleet_view view_;
@@ -180,6 +189,7 @@
     internal::retry_tokens retries_;
     internal::jitter random_;
     bool is_proven_ = false;
+    bool has_lost_agents_ = false; ///< As last logged.
     instant last_event_;
     instant next_sweep_;
 };
--- a/packages/core/include/radishspread/core/rs_packet_balancer_options.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_balancer_options.hpp
@@ -49,6 +49,10 @@
     /// An agent that has answered no question for this long, a restart several
     /// times over, need not deny a flow either.
     duration silence_limit = std::chrono::milliseconds(1500);
+    /// Without any agent's answer for this long, agents are asked in turn.
+    duration contact_doubt = std::chrono::milliseconds(200);
+    /// Without any agent's answer for this long, a balancer cannot serve.
+    duration contact_limit = std::chrono::milliseconds(400);
     duration pause_limit = std::chrono::seconds(1);
     std::uint64_t seed = 1; ///< Of the random choices.
 };
--- a/packages/core/include/radishspread/core/rs_packet_events.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_events.hpp
@@ -25,6 +25,8 @@
 inline constexpr std::uint16_t paused = 1611;
 inline constexpr std::uint16_t table_full = 1612;
 inline constexpr std::uint16_t flows_listed = 1613;
+inline constexpr std::uint16_t agents_lost = 1614;
+inline constexpr std::uint16_t agents_regained = 1615;
 inline constexpr std::uint16_t opening_taken = 1620;
 inline constexpr std::uint16_t opening_declined = 1621;
 inline constexpr std::uint16_t opening_returned = 1622;
@@ -51,7 +53,7 @@
 inline constexpr std::uint16_t bad_packet = 1655;
 inline constexpr std::uint16_t listen_failed = 1656;
 inline constexpr std::uint16_t lines_left_out = 1657;
-inline constexpr std::size_t count = 40;
+inline constexpr std::size_t count = 42;
 
 } // namespace packet_event
 
@@ -85,6 +87,10 @@
             "flow table full, oldest entries dropped; value: entries"},
         {packet_event::flows_listed, severity::info,
             "agents asked for lists of their flows; value: flows sought"},
+        {packet_event::agents_lost, severity::warning,
+            "no agent answers, leaving the rotation; value: ms"},
+        {packet_event::agents_regained, severity::info,
+            "agents answer again, back in rotation"},
         {packet_event::opening_taken, severity::info,
             "opening passed to the backend server; value: flows open"},
         {packet_event::opening_declined, severity::info,
--- a/packages/core/src/rs_agent_loads.cpp
+++ b/packages/core/src/rs_agent_loads.cpp
@@ -25,6 +25,7 @@
 }
 
 void agent_loads::asked(instant now, endpoint agent) {
+    contact_.asked(now);
     auto& it = loads_[agent];
     if (it.unanswered == 0)
         it.silent_since = now;
@@ -38,7 +39,8 @@
            now - it->second.silent_since >= limit;
 }
 
-void agent_loads::sent(instant, endpoint agent) {
+void agent_loads::sent(instant now, endpoint agent) {
+    contact_.asked(now);
     auto& it = loads_[agent];
     it.in_progress += 1;
     ++it.flows;
@@ -58,12 +60,27 @@
 }
 
 void agent_loads::heard(endpoint agent) {
+    contact_.heard();
     auto& it = loads_[agent];
     it.strikes = 0;
     it.unanswered = 0;
     it.passed_over_until = {};
 }
 
+void agent_loads::forget_silence() {
+    contact_.heard();
+    for (auto& [agent, it] : loads_)
+        it.unanswered = 0;
+}
+
+endpoint agent_loads::next_agent() {
+    auto it = loads_.upper_bound(last_in_turn_);
+    if (it == loads_.end())
+        it = loads_.begin();
+    last_in_turn_ = it == loads_.end() ? endpoint{} : it->first;
+    return last_in_turn_;
+}
+
 bool agent_loads::is_passed_over(instant now, endpoint agent) const {
     auto const it = loads_.find(agent);
     return it != loads_.end() && it->second.passed_over_until > now;
--- a/packages/runtime/include/radishspread/runtime/rs_packet_balancer_process.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_balancer_process.hpp
@@ -31,12 +31,13 @@
 
     [[nodiscard]] int run() {
         core_.start(shell_.enter(), *this);
-        return shell_.run({.receive = [this](auto key, auto const& batch,
-                                          auto n) { receive(key, batch, n); },
-                              .tick = [this] { tick(); },
-                              .stop = [] {},
-                              .is_ready = [this] { return core_.is_ready(); },
-                              .linger = linger},
+        return shell_.run(
+            {.receive = [this](auto key, auto const& batch,
+                            auto n) { receive(key, batch, n); },
+                .tick = [this] { tick(); },
+                .stop = [] {},
+                .is_ready = [this] { return core_.is_serving(shell_.now()); },
+                .linger = linger},
             Platform::readiness_path());
     }
 
