--- a/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
@@ -319,7 +319,7 @@
             sink.log({.number = packet_event::opening_abandoned,
                 .flow = flow,
                 .peer = entry.agent,
-                .why = refusal::unanswered,
+                .why = entry.why_not_taken(),
                 .value = static_cast<std::int64_t>(entry.tried.size())});
         } else if (now >= entry.answer_due) {
             is_over = !on_silence(now, flow, entry, sink);
--- a/packages/core/include/radishspread/core/internal/rs_pending_opening.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_pending_opening.hpp
@@ -46,6 +46,13 @@
         tried.assign(1, agent);
     }
 
+    /// Why nobody has taken the opening so far.
+    [[nodiscard]] refusal why_not_taken() const {
+        if (awaits_view)
+            return refusal::stale_view;
+        return is_queued ? refusal::overloaded : refusal::unanswered;
+    }
+
     /// Milliseconds since the caller's first copy.
     [[nodiscard]] std::uint16_t age_ms(instant now) const {
         return static_cast<std::uint16_t>(
--- a/packages/core/include/radishspread/core/rs_packet_events.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_events.hpp
@@ -69,7 +69,7 @@
         {packet_event::opening_dropped, severity::info,
             "opening left the queue, its caller has given it up"},
         {packet_event::opening_abandoned, severity::warning,
-            "no agent answered the opening; value: agents tried"},
+            "opening not taken until its caller gave up; value: agents tried"},
         {packet_event::flow_sought, severity::info,
             "holder of the flow unknown, agents asked; value: agents"},
         {packet_event::flow_reset, severity::info,
--- a/packages/core/tests/rs_packet_balancer_test.cpp
+++ b/packages/core/tests/rs_packet_balancer_test.cpp
@@ -229,3 +229,21 @@
     decline(sink.sent.back().to, flow_of(1), refusal::overloaded, 30);
     CHECK_EQUAL(630, sink.sent.back().message.age_ms);
 }
+
+// On-call engineers would look for broken links where slots are short.
+TEST(packet_balancer, opening_given_up_in_a_queue_is_logged_as_overloaded) {
+    open(flow_of(1), 0);
+    queue(decline_all(flow_of(1), 1), flow_of(1), 2);
+    core.tick(at(700), sink);
+    core.tick(at(1450), sink);
+    CHECK(sink.last_reason_of(packet_event::opening_abandoned) ==
+          refusal::overloaded);
+}
+
+TEST(packet_balancer, opening_that_nobody_answers_is_logged_as_unanswered) {
+    open(flow_of(1), 0);
+    for (int ms = 50; ms <= 1450; ms += 50)
+        core.tick(at(ms), sink);
+    CHECK(sink.last_reason_of(packet_event::opening_abandoned) ==
+          refusal::unanswered);
+}
--- a/packages/core/tests/rs_packet_sink.hpp
+++ b/packages/core/tests/rs_packet_sink.hpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -30,6 +31,8 @@
     std::size_t refreshes = 0;
     endpoint ahead; ///< Last peer to catch up with.
     std::vector<std::uint16_t> events;
+    std::map<std::uint16_t, refusal>
+        reasons; ///< Of the last event of a number.
 
     void send(endpoint to, agent_packet const& message) {
         sent.push_back({.to = to,
@@ -46,12 +49,20 @@
     void refresh_view() { ++refreshes; }
     void refresh_members() { ++refreshes; }
     void catch_up(endpoint peer) { ahead = peer; }
-    void log(packet_log const& event) { events.push_back(event.number); }
+    void log(packet_log const& event) {
+        events.push_back(event.number);
+        reasons[event.number] = event.why;
+    }
 
     [[nodiscard]] std::size_t count(agent_packet_kind kind) const {
         return static_cast<std::size_t>(std::count_if(sent.begin(), sent.end(),
             [&](auto const& it) { return it.message.kind == kind; }));
     }
+    /// Reason printed with the last event of the number; none if there is none.
+    [[nodiscard]] refusal last_reason_of(std::uint16_t number) const {
+        auto const it = reasons.find(number);
+        return it == reasons.end() ? refusal::none : it->second;
+    }
     void clear() { *this = {}; }
 };
 
