--- a/packages/core/include/radishspread/core/internal/rs_agent_contact.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_agent_contact.hpp
@@ -36,7 +36,7 @@
     }
 
 private:
-    /// Lost datagrams and a single dead agent do not add up to this many.
+    /// Fewer may be lost datagrams, or questions to one dead agent.
     static constexpr unsigned questions_to_be_lost = 8;
 
     unsigned unanswered_ = 0;
