Cancel dropped calls to the configuration service

Cause: a search that every known agent has rejected asks for another read of the backend servers. That read dropped the outstanding watch only in the process; the HTTP call stayed open until its timeout. Five such watches held all connections of the client, so the next read waited in libsoup until an item changed. Ruled out: agents that probe, since all six had rejected the flows 0.3 to 0.7 s before. Change: the client returns a handle of each call, and item_source cancels the call that it drops. Measured: the new test fails at a reread without the change.

--- a/packages/runtime/include/radishspread/runtime/rs_configuration_client.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_configuration_client.hpp
@@ -39,8 +39,13 @@
     void read(instant now, std::string_view name, response_callback callback);
 
     /// Requests `path` from the service or a peer; times out at `deadline`.
-    void get(endpoint from, std::string const& path, instant deadline,
-        response_callback callback);
+    /// Returns the call for `cancel`.
+    std::weak_ptr<configuration_call> get(endpoint from,
+        std::string const& path, instant deadline, response_callback callback);
+
+    /// Cancels a call of `get`, which frees its connection; the callback is not
+    /// called. Does nothing if the call has ended.
+    void cancel(std::weak_ptr<configuration_call> const& call);
 
     /// Starts a watch. An outstanding watch is cancelled and its callback is
     /// not called.
--- a/packages/runtime/include/radishspread/runtime/rs_item_source.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_item_source.hpp
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -37,32 +38,29 @@
         auto const call = follower_.take_call(now);
         if (!call)
             return;
-        auto const id = ++call_id_;
         is_peer_call_ = call->peer.is_set();
-        client_.get(is_peer_call_ ? call->peer : service_,
+        call_ = client_.get(is_peer_call_ ? call->peer : service_,
             is_peer_call_ ? peer_path_ : Platform::path_of(*call),
-            now + call->timeout, [this, id](section_response const& it) {
-                if (id == call_id_) // Else the call has been dropped.
-                    handle_reply(it);
-            });
+            now + call->timeout,
+            [this](section_response const& it) { handle_reply(it); });
     }
 
-    /// Drops the outstanding call and reads all items again.
+    /// Cancels the outstanding call and reads all items again.
     void restart(instant now) {
         if (follower_.restart(now))
-            ++call_id_;
+            client_.cancel(call_);
     }
 
     /// Reads all items again once an outstanding read has ended.
     void reread(instant now) {
         if (follower_.reread(now))
-            ++call_id_;
+            client_.cancel(call_);
     }
 
     /// Reads from the process at `peer`, which has a newer view.
     void catch_up(instant now, endpoint peer) {
         if (follower_.catch_up(now, peer))
-            ++call_id_;
+            client_.cancel(call_);
     }
 
     /// Collects changes for this long, starting with the next reply.
@@ -128,7 +126,7 @@
     endpoint service_;
     page_callback on_page_;
     std::function<void(packet_log const&)> log_;
-    std::uint64_t call_id_ = 0;
+    std::weak_ptr<configuration_call> call_; ///< Started last.
 };
 
 } // namespace radishspread::runtime
--- a/packages/runtime/src/rs_configuration_client.cpp
+++ b/packages/runtime/src/rs_configuration_client.cpp
@@ -47,10 +47,17 @@
         now + options_.read_timeout, std::move(callback));
 }
 
-void configuration_client::get(endpoint from, std::string const& path,
-    instant deadline, response_callback callback) {
+std::weak_ptr<configuration_call> configuration_client::get(endpoint from,
+    std::string const& path, instant deadline, response_callback callback) {
     std::erase_if(calls_, [](auto const& call) { return call->is_done(); });
     calls_.push_back(start(from, path, deadline, std::move(callback)));
+    return calls_.back();
+}
+
+void configuration_client::cancel(
+    std::weak_ptr<configuration_call> const& call) {
+    if (auto const found = call.lock(); found != nullptr)
+        found->abandon();
 }
 
 void configuration_client::watch(
--- /dev/null
+++ b/packages/runtime/tests/rs_item_source_test.cpp
@@ -0,0 +1,136 @@
+#include "rs_http2_test_server.hpp"
+
+#include <radishspread/runtime/rs_clock.hpp>
+#include <radishspread/runtime/rs_item_source.hpp>
+
+#include <libsoup/soup.h>
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace radishspread;
+using namespace radishspread::runtime;
+
+namespace {
+
+/// Platform whose configuration service has no items.
+struct empty_platform {
+    static std::optional<flow_packet> decode(std::span<std::byte const>) {
+        return std::nullopt;
+    }
+    static void clear_returned_flag(std::span<std::byte>) {}
+    static std::vector<std::byte> encode_reset(
+        packet_flow const&, std::uint32_t) {
+        return {};
+    }
+    static std::string path_of(item_call const& call) {
+        return call.is_watch ? "/watch" : "/read";
+    }
+    static std::optional<item_page> parse_page(std::string&) {
+        return item_page{.as_of = 1};
+    }
+    static std::vector<std::string> prefixes() { return {"backend/"}; }
+    static char const* readiness_path() { return "/ready"; }
+};
+
+/// Configuration service that responds to reads at once and to watches never.
+class silent_watch_service {
+public:
+    silent_watch_service() : server_(soup_server_new(nullptr, nullptr)) {
+        soup_server_add_handler(server_, "/read", serve_read, this, nullptr);
+        soup_server_add_handler(server_, "/watch", serve_watch, this, nullptr);
+        GError* error = nullptr;
+        soup_server_listen_local(
+            server_, 0, SOUP_SERVER_LISTEN_IPV4_ONLY, &error);
+        CHECK(error == nullptr);
+    }
+    ~silent_watch_service() {
+        soup_server_disconnect(server_);
+        for (auto* message : watches_)
+            g_object_unref(message);
+        g_object_unref(server_);
+    }
+    silent_watch_service(silent_watch_service const&) = delete;
+    silent_watch_service& operator=(silent_watch_service const&) = delete;
+
+    [[nodiscard]] endpoint address() const {
+        auto* uris = soup_server_get_uris(server_);
+        auto const port = g_uri_get_port(static_cast<GUri*>(uris->data));
+        g_slist_free_full(
+            uris, [](gpointer it) { g_uri_unref(static_cast<GUri*>(it)); });
+        return {.address = INADDR_LOOPBACK,
+            .port = static_cast<std::uint16_t>(port)};
+    }
+    [[nodiscard]] std::size_t reads() const { return reads_; }
+    [[nodiscard]] std::size_t watches() const { return watches_.size(); }
+
+private:
+    static void serve_read(SoupServer*, SoupServerMessage* message, char const*,
+        GHashTable*, gpointer self) {
+        ++static_cast<silent_watch_service*>(self)->reads_;
+        soup_server_message_set_status(message, SOUP_STATUS_OK, nullptr);
+        soup_server_message_set_response(
+            message, "application/json", SOUP_MEMORY_STATIC, "{}", 2);
+    }
+    static void serve_watch(SoupServer*, SoupServerMessage* message,
+        char const*, GHashTable*, gpointer self) {
+        soup_server_message_pause(message);
+        static_cast<silent_watch_service*>(self)->watches_.push_back(
+            static_cast<SoupServerMessage*>(g_object_ref(message)));
+    }
+
+    SoupServer* server_;
+    std::size_t reads_ = 0;
+    std::vector<SoupServerMessage*> watches_;
+};
+
+} // namespace
+
+TEST_GROUP(item_source) {
+    silent_watch_service service;
+    fleet_view view;
+    configuration_client client{{.service = service.address()}};
+    item_source<empty_platform> source{{.prefix = "backend/"}, "/peer", view,
+        client, service.address(), [](item_page const&, bool) {},
+        [](packet_log const&) {
+        }};
+
+    void setup() override {
+        source.clock = [] {
+            return monotonic_now();
+        };
+    }
+
+    /// Cancelled calls are freed by the main loop.
+    void teardown() override {
+        client.reset();
+        while (g_main_context_iteration(nullptr, FALSE) != FALSE)
+            continue;
+    }
+
+    /// Starts calls that are due until the service has received `count`
+    /// watches.
+    bool run_until_watches(std::size_t count) {
+        return test::run_until([&] {
+            source.start_due_call(monotonic_now());
+            return service.watches() >= count;
+        });
+    }
+};
+
+// The calls that rereads dropped stayed open at the service until their watches
+// timed out. They held all connections of the client, so that no read could
+// start, and callers of lost flows waited 0.7 s for their resets.
+TEST(item_source, rereads_during_watches_never_wait_for_a_connection) {
+    constexpr std::size_t rereads = 12;
+    CHECK(run_until_watches(1));
+    for (std::size_t n = 1; n <= rereads; ++n) {
+        source.reread(monotonic_now());
+        CHECK(run_until_watches(n + 1));
+        CHECK_EQUAL(n + 1, service.reads());
+    }
+}
