Refuse queued openings by their place in the order of service

Cause: an agent estimated the wait of an opening from the length of its queue, although new openings are served before the backlog. Change: the estimate counts the openings that are served earlier. Load pattern and test: opening_queue, new_opening_is_queued_behind_a_long_backlog; it fails with the old estimate.

--- a/packages/core/include/radishspread/core/internal/rs_opening_queue.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_opening_queue.hpp
@@ -39,9 +39,10 @@
         : opening_age_limit_(opening_age_limit) {}
 
     /// Queues the opening unless the queue is full or the opening would expire
-    /// before it is served; false if not queued. `slot_interval` is the mean
-    /// time between two free slots.
-    bool push(instant now, queued_opening opening, duration slot_interval);
+    /// before its turn; false if not queued. `service` is the response time of
+    /// the backend server, which has `slots` slots.
+    bool push(instant now, queued_opening opening, duration service,
+        std::size_t slots);
 
     /// Removes and returns the opening to be served next; `service` is the
     /// response time of the backend server. Empty if the queue is empty.
--- a/packages/core/include/radishspread/core/internal/rs_packet_opening_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_opening_impl.hpp
@@ -91,9 +91,7 @@
         opening.goal = route->goal;
         opening.priority = route->priority;
     }
-    auto const slot_interval =
-        service_time_ / std::max<std::size_t>(slots(), 1);
-    if (!queue_.push(now, std::move(opening), slot_interval))
+    if (!queue_.push(now, std::move(opening), service_time_, slots()))
         return decline(now, from, message, refusal::overloaded, sink);
     sink.log({.number = packet_event::opening_queued,
         .flow = message.flow,
--- a/packages/core/src/rs_opening_queue.cpp
+++ b/packages/core/src/rs_opening_queue.cpp
@@ -26,10 +26,17 @@
 
 } // namespace
 
+// The wait follows from the order of service, not from the length of the queue:
+// behind a long backlog, a new opening is still served next.
 bool opening_queue::push(
-    instant now, queued_opening opening, duration slot_interval) {
+    instant now, queued_opening opening, duration service, std::size_t slots) {
+    auto const ahead =
+        std::count_if(waiting_.begin(), waiting_.end(), [&](auto const& it) {
+            return !is_served_before(opening, it, now, service);
+        });
     auto const wait =
-        slot_interval * static_cast<duration::rep>(waiting_.size() + 1);
+        service * (ahead + 1) /
+        static_cast<duration::rep>(std::max<std::size_t>(slots, 1));
     bool const is_too_late =
         now - opening.first_sent_at + wait >= opening_age_limit_;
     if (waiting_.size() >= max_size || is_too_late)
--- a/packages/core/tests/rs_opening_queue_test.cpp
+++ b/packages/core/tests/rs_opening_queue_test.cpp
@@ -32,7 +32,7 @@
 struct fifo_queue {
     std::deque<queued_opening> waiting;
 
-    void push(instant, queued_opening it, duration) {
+    void push(instant, queued_opening it, duration, std::size_t) {
         waiting.push_back(std::move(it));
     }
     std::optional<queued_opening> pop(instant now, duration) {
@@ -56,20 +56,21 @@
 /// the backend server restarts, and new ones at 80% of its capacity.
 template <class Queue> replay_result replay_backlog(Queue&& queue) {
     constexpr milliseconds outage{1300};
-    constexpr milliseconds slot_interval = service / 2; // Two slots.
+    constexpr std::size_t slots = 2;
+    constexpr milliseconds slot_interval = service / slots;
     constexpr milliseconds arrival_interval = slot_interval * 5 / 4;
     constexpr milliseconds end{4000};
     std::uint16_t port = 0;
     for (auto first_sent_at = -outage; first_sent_at < milliseconds(0);
          first_sent_at += arrival_interval)
         queue.push(at(milliseconds(0)), opening_of(++port, first_sent_at),
-            slot_interval);
+            service, slots);
     replay_result out;
     auto next_arrival = milliseconds(0);
     for (auto now = milliseconds(0); now < end; now += slot_interval) {
         for (; next_arrival <= now; next_arrival += arrival_interval)
             queue.push(
-                at(now), opening_of(++port, next_arrival), slot_interval);
+                at(now), opening_of(++port, next_arrival), service, slots);
         auto const it = queue.pop(at(now), service);
         if (!it)
             continue;
@@ -88,9 +89,10 @@
         auto const it = queue.pop(at(now), service);
         return it ? it->message.flow.caller.port : std::uint16_t{0};
     }
+    /// Pushes the opening to the queue of a backend server with one slot.
     bool push(queued_opening it, milliseconds now = milliseconds(0),
-        milliseconds slot_interval = milliseconds(1)) {
-        return queue.push(at(now), std::move(it), slot_interval);
+        milliseconds response_time = milliseconds(1)) {
+        return queue.push(at(now), std::move(it), response_time, 1);
     }
 };
 
@@ -126,6 +128,19 @@
     CHECK(push(opening_of(5, milliseconds(0)), {}, milliseconds(100)));
 }
 
+// A power loss leaves a backlog of more than a second. New openings, which are
+// served first, were refused because of its length, and their callers used up
+// all retries within milliseconds.
+TEST(opening_queue, new_opening_is_queued_behind_a_long_backlog) {
+    constexpr milliseconds response_time{20};
+    constexpr std::uint16_t backlog = 100;
+    for (std::uint16_t n = backlog; n != 0; --n)
+        CHECK(push(opening_of(n, milliseconds(-n)), {}, response_time));
+    CHECK(!push(opening_of(300, milliseconds(-400)), {}, response_time));
+    CHECK(push(opening_of(301, milliseconds(0)), {}, response_time));
+    CHECK_EQUAL(301, pop(milliseconds(0)));
+}
+
 TEST(opening_queue, opening_abandoned_by_its_caller_expires) {
     push(opening_of(1, milliseconds(0)));
     CHECK(!queue.pop_expired(at(milliseconds(1349))).has_value());
