Queue openings at once where all agents have a backlog

Cause: while a backlog waits, a balancer handed each opening to four full agents before one queued it, and to every agent of the service before it refused it. Change: agents that reported a backlog are tried after all others, and an opening that finds only such agents may be queued by the first one. After four full queues it is refused.

--- a/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
@@ -121,10 +121,12 @@
     auto const list = candidates(now, pending);
     auto const* chosen =
         internal::choose_agent({list.data(), list.size()}, random_.next());
-    bool const is_busy = pending.least_loaded.is_set() &&
-                         pending.declines >= options_.max_declines;
-    if (chosen == nullptr || (is_busy && !pending.may_queue))
+    if (chosen == nullptr || pending.declines >= options_.max_declines)
         return on_agents_exhausted(now, flow, pending, sink);
+    // All candidates have reported a backlog. Trying them one after another for
+    // a free slot would only delay the opening.
+    if (chosen->load_per_slot >= internal::backlog_load_per_slot)
+        pending.may_queue = true;
     send_open(now, flow, pending, chosen->agent, sink);
     return true;
 }
@@ -169,6 +171,7 @@
     if (pending.least_loaded.is_set() && !pending.may_queue) {
         // No agent has a free slot: queue the opening at the least loaded one.
         pending.may_queue = true;
+        pending.declines = 0;
         send_open(now, flow, pending, pending.least_loaded, sink);
         return true;
     }
--- a/packages/core/include/radishspread/core/internal/rs_pending_opening.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_pending_opening.hpp
@@ -29,7 +29,8 @@
     /// An agent that was tried has not replied and may still admit the opening.
     bool has_unresponsive_agent = false;
     refusal last_refusal = refusal::none;
-    std::size_t declines = 0; ///< Refusals for lack of a free slot.
+    /// Refusals for lack of a free slot or, if `may_queue`, for a full queue.
+    std::size_t declines = 0;
 
     /// Clears the record of agents tried and refusals, so that every agent may
     /// be tried again.
--- a/packages/core/include/radishspread/core/internal/rs_placement.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_placement.hpp
@@ -21,6 +21,11 @@
 using placement_candidates =
     boost::container::small_vector<placement_candidate, 16>;
 
+/// Load per slot from which on an agent has a backlog: at least as many
+/// openings wait as requests are served. Load reports are too old to tell a
+/// full agent from one that has just become free.
+inline constexpr double backlog_load_per_slot = 2;
+
 /// Chooses the agent for an opening; null if there is no candidate.
 ///
 /// Under ordinary load it chooses within the balancer's own failure domain
@@ -29,7 +34,9 @@
 /// agents from all domains: load reports are only as recent as the last
 /// opening, and all balancers would otherwise choose the same agent. Equal
 /// loads are decided by the number of open flows, because long flows accumulate
-/// at the agents that received openings first.
+/// at the agents that received openings first. Agents with a backlog come last,
+/// before suspect ones: after an outage, or while many backend servers are
+/// replaced, most agents have one.
 [[nodiscard]] placement_candidate const* choose_agent(
     std::span<placement_candidate const> candidates, std::uint64_t random);
 
--- a/packages/core/include/radishspread/core/rs_packet_balancer_options.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_balancer_options.hpp
@@ -23,7 +23,8 @@
     /// has abandoned an opening.
     duration opening_age_limit = std::chrono::milliseconds(1400);
     /// Agents without a free slot that are tried for an opening before it is
-    /// queued at one of them.
+    /// queued at one of them, and agents with a full queue that are tried
+    /// before it is refused.
     std::size_t max_declines = 4;
     /// Time between attempts to retry an opening without a reply while no retry
     /// token is available.
--- a/packages/core/src/rs_placement.cpp
+++ b/packages/core/src/rs_placement.cpp
@@ -37,11 +37,13 @@
 
 placement_candidate const* choose_agent(
     std::span<placement_candidate const> candidates, std::uint64_t random) {
-    // In order of preference: local with free slots, other agents that reply,
-    // suspect agents.
-    std::array<pointer_list, 3> groups;
+    // In order of preference: local with free slots, others without a backlog,
+    // agents with a backlog, suspect agents.
+    std::array<pointer_list, 4> groups;
     for (auto const& it : candidates) {
         if (it.is_suspect)
+            groups[3].push_back(&it);
+        else if (it.load_per_slot >= backlog_load_per_slot)
             groups[2].push_back(&it);
         else if (it.is_local && it.load_per_slot < max_local_load)
             groups[0].push_back(&it);
--- a/packages/core/tests/rs_packet_balancer_fixture.hpp
+++ b/packages/core/tests/rs_packet_balancer_fixture.hpp
@@ -62,12 +62,13 @@
             ms);
     }
 
-    void reply_queued(endpoint agent, packet_flow const& flow, int ms) {
+    void reply_queued(endpoint agent, packet_flow const& flow, int ms,
+        std::uint16_t in_progress = 3) {
         deliver_reply(agent,
             {.kind = agent_packet_kind::queued,
                 .service = test_service,
                 .route_version = 5,
-                .in_progress = 3,
+                .in_progress = in_progress,
                 .slots = 2,
                 .flow = flow},
             ms);
--- a/packages/core/tests/rs_packet_balancer_test.cpp
+++ b/packages/core/tests/rs_packet_balancer_test.cpp
@@ -66,6 +66,34 @@
     CHECK(sink.resets.empty());
 }
 
+// After a power loss each opening was declined by four agents with a backlog
+// before it was queued, which multiplied the messages while the agents were
+// busiest.
+TEST(packet_balancer, opening_is_queued_at_once_if_all_agents_have_a_backlog) {
+    constexpr std::uint16_t backlog = 4; // Of two slots.
+    for (std::uint32_t n = 1; n <= 3; ++n)
+        reply_queued(agent_address(n), flow_of(1), 1, backlog);
+    sink.clear();
+    open(flow_of(2), 2);
+    CHECK_EQUAL(1, sink.count(agent_packet_kind::open));
+    CHECK(sink.sent.back().message.may_queue);
+    reply_held(agent_address(3), flow_of(9), 3);
+    CHECK(open(flow_of(3), 4) == agent_address(3));
+    CHECK(!sink.sent.back().message.may_queue);
+}
+
+// Every full queue means that the opening would be served too late. Trying all
+// agents of a large service first would delay the refusal.
+TEST(packet_balancer, opening_declined_by_several_full_queues_is_refused) {
+    for (std::uint32_t n = 4; n <= 40; ++n)
+        core.view().apply(at(0), announcement_of(n, 1 + n));
+    open(flow_of(1), 0);
+    for (int n = 0; n != 8; ++n)
+        reply_declined(sink.sent.back().to, flow_of(1), refusal::overloaded, 1);
+    CHECK_EQUAL(8, sink.count(agent_packet_kind::open));
+    CHECK_EQUAL(1, sink.resets.size());
+}
+
 TEST(packet_balancer, opening_that_no_agent_admits_is_reset_at_once) {
     open(flow_of(1), 0);
     for (int n = 0; n != 3; ++n)
--- a/packages/core/tests/rs_placement_test.cpp
+++ b/packages/core/tests/rs_placement_test.cpp
@@ -72,6 +72,16 @@
     CHECK(choose_agent({}, 1) == nullptr);
 }
 
+// The better of two random choices missed the only agent without a backlog
+// among many, so the opening waited although it could have been served.
+TEST(placement, agent_without_a_backlog_is_preferred) {
+    std::vector<placement_candidate> list;
+    for (std::uint32_t n = 1; n <= 20; ++n)
+        list.push_back(candidate_of(n, true, n == 7 ? 1.5 : 2.5));
+    for (std::uint64_t n = 0; n != 20; ++n)
+        CHECK_EQUAL(7, choose_agent(list, n * 77)->agent.address);
+}
+
 // Open flows cause requests later, so they decide between equal loads.
 TEST(placement, fewer_open_flows_decide_between_equal_loads) {
     std::vector<placement_candidate> list{
