Find flow holders with fewer messages after all agents restart

Requests for lists went to every agent of the service every 50 to 100 ms, whether or not it had anything left to reply, and used up 2,180 of the 2,500 search messages of a second. Ruled out: agents without a backend server, since the backend servers of the missing agents returned the packets at once. Change: only agents whose list can advance a search are asked for one. An agent known to be uncertain is sent the packet directly. In the first 40 ms the packets go only to agents of the own failure domain, where most flows are opened. An agent that does not reply to a packet is queried again after 200 ms. The limit counts bytes, half of the link of the host (new setting link_mbit_per_s), a quarter of them at once; agents that have rejected a flow are kept in a sorted set. The limit in unsuccessful_searches_back_off_and_are_limited is now the one in bytes.

--- a/packages/config/include/radishspread/config/rs_packet_settings.hpp
+++ b/packages/config/include/radishspread/config/rs_packet_settings.hpp
@@ -24,9 +24,10 @@
     endpoint configuration_service;
     std::vector<endpoint> peers; ///< Hosts of other processes; port is unused.
     duration stop_deadline = std::chrono::seconds(5);
-    endpoint backend_address;  ///< Agent: the backend server receives here.
-    endpoint outbound_address; ///< Agent: the backend server sends here.
-    std::string service;       ///< Agent: name of the service.
+    double link_mbit_per_s = 10; ///< Bandwidth of the host's link.
+    endpoint backend_address;    ///< Agent: the backend server receives here.
+    endpoint outbound_address;   ///< Agent: the backend server sends here.
+    std::string service;         ///< Agent: name of the service.
 
     friend bool operator==(
         packet_settings const&, packet_settings const&) = default;
--- a/packages/config/src/rs_packet_settings.cpp
+++ b/packages/config/src/rs_packet_settings.cpp
@@ -13,6 +13,9 @@
 
 constexpr std::array<std::string_view, 2> roles{"balancer", "agent"};
 
+constexpr double min_link_mbit_per_s = 0.1;
+constexpr double max_link_mbit_per_s = 1'000'000;
+
 endpoint read_endpoint(map_reader& top, std::string_view key) {
     return top.address_and_port(key).value_or(endpoint{});
 }
@@ -56,6 +59,9 @@
         "stop_deadline_ms", 100, 3'600'000, presence::optional);
     if (stop)
         out.stop_deadline = std::chrono::milliseconds(*stop);
+    auto const link = top.fraction("link_mbit_per_s", min_link_mbit_per_s,
+        max_link_mbit_per_s, presence::optional);
+    out.link_mbit_per_s = link.value_or(out.link_mbit_per_s);
     if (out.role == role::agent)
         read_agent(top, out);
     top.finish();
--- a/packages/core/include/radishspread/core/internal/rs_agent_loads.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_agent_loads.hpp
@@ -20,6 +20,7 @@
     instant suspect_until;
     instant unreplied_since; ///< Time of the first unreplied request.
     unsigned unreplied = 0;  ///< Requests since then.
+    instant uncertain_until; ///< Its flow table may be incomplete until then.
 };
 
 /// Load and health of the agents. The only source is their replies.
@@ -39,6 +40,8 @@
     void mark_suspect(endpoint agent, instant until);
     /// Records a reply that carries no load.
     void reply_received(endpoint agent);
+    /// Records whether the agent's flow table may be incomplete.
+    void certainty_reported(instant now, endpoint agent, bool is_uncertain);
     /// Discards the records of missing replies after a pause of the process,
     /// which could receive none in that time.
     void clear_unreplied();
@@ -56,6 +59,9 @@
     [[nodiscard]] bool is_unresponsive(
         instant now, endpoint agent, duration limit) const;
     [[nodiscard]] bool is_suspect(instant now, endpoint agent) const;
+    /// True if the agent has recently reported that its flow table may be
+    /// incomplete.
+    [[nodiscard]] bool is_uncertain(instant now, endpoint agent) const;
     /// Estimated requests in progress per slot; 0 if the last report is too
     /// old. `slots` is used if the agent has not reported its number of slots.
     [[nodiscard]] double load_per_slot(
--- a/packages/core/include/radishspread/core/internal/rs_flow_search.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_flow_search.hpp
@@ -5,8 +5,7 @@
 #include <radishspread/core/rs_flow_packet.hpp>
 #include <radishspread/core/rs_time.hpp>
 
-#include <algorithm>
-#include <boost/container/small_vector.hpp>
+#include <boost/container/flat_set.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <span>
@@ -41,9 +40,10 @@
     bool is_confirmed = false; ///< A read begun after `started_at` has ended.
     /// Acknowledgment number of the caller's last packet.
     std::uint32_t acknowledged = 0;
-    boost::container::small_vector<endpoint, 16> rejected_by;
+    boost::container::flat_set<endpoint> rejected_by;
     /// Agents that were sent the caller's last packet.
-    boost::container::small_vector<endpoint, 16> packet_sent_to;
+    boost::container::flat_set<endpoint> packet_sent_to;
+    instant packet_sent_at; ///< To any agent.
     /// Packets received during the search, oldest first.
     std::vector<std::vector<std::byte>> retained;
 
@@ -63,8 +63,13 @@
     }
 
     [[nodiscard]] bool was_rejected_by(endpoint agent) const {
-        return std::find(rejected_by.begin(), rejected_by.end(), agent) !=
-               rejected_by.end();
+        return rejected_by.contains(agent);
+    }
+
+    /// True if the agent has neither rejected the flow nor been sent a packet,
+    /// to which it replies.
+    [[nodiscard]] bool needs_query(endpoint agent) const {
+        return !was_rejected_by(agent) && !packet_sent_to.contains(agent);
     }
 };
 
--- a/packages/core/include/radishspread/core/internal/rs_packet_list_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_list_impl.hpp
@@ -29,26 +29,39 @@
 template <packet_sink Sink>
 void packet_balancer::request_lists_of(
     instant now, std::uint32_t service, Sink& sink) {
-    boost::container::small_vector<endpoint, 16> requested;
-    for (auto const* member : view_.members_of(service)) {
-        auto const agent = agent_of(*member);
-        if (std::find(requested.begin(), requested.end(), agent) !=
-            requested.end())
+    boost::container::flat_set<endpoint> agents;
+    for (auto const* member : view_.members_of(service))
+        agents.insert(agent_of(*member));
+    for (auto const agent : agents) {
+        if (loads_.is_uncertain(now, agent))
+            probe_for_all_searches(now, service, agent, sink);
+        if (!needs_list_of(now, service, agent))
             continue;
-        requested.push_back(agent);
-        search_rate_.add(now);
         loads_.request_sent(now, agent);
-        sink.send(agent, {.kind = agent_packet_kind::list,
-                             .service = service,
-                             .route_version = view_.route_version(),
-                             .handshake = list_number_});
+        send_search_message(now, agent,
+            {.kind = agent_packet_kind::list,
+                .service = service,
+                .route_version = view_.route_version(),
+                .handshake = list_number_},
+            sink);
     }
 }
 
+// Only probes can tell whether the backend server of the agent holds the flows.
+template <packet_sink Sink>
+void packet_balancer::probe_for_all_searches(
+    instant now, std::uint32_t service, endpoint agent, Sink& sink) {
+    for (auto& [flow, search] : searches_)
+        if (search.service == service && search.needs_query(agent) &&
+            may_probe(now, agent, search))
+            send_probe_packet(now, agent, flow, search, sink);
+}
+
 template <packet_sink Sink>
 void packet_balancer::on_listed(
     instant now, endpoint from, agent_packet const& message, Sink& sink) {
     loads_.reply_received(from);
+    loads_.certainty_reported(now, from, message.is_uncertain);
     auto const listed = decode_flow_list(message.packet);
     bool const is_too_long = message.why == refusal::overloaded;
     for (auto entry = searches_.begin(); entry != searches_.end();) {
@@ -62,9 +75,10 @@
                                       listed.end(), hash_value(flow))) {
             query_agent(now, from, flow, search, sink);
         } else if (message.is_uncertain) {
-            send_probe_packet(now, from, flow, sink);
+            if (may_probe(now, from, search))
+                send_probe_packet(now, from, flow, search, sink);
         } else {
-            search.rejected_by.push_back(from);
+            search.rejected_by.insert(from);
             is_over = reset_if_not_found(now, flow, search, sink);
         }
         entry = is_over ? searches_.erase(entry) : std::next(entry);
--- a/packages/core/include/radishspread/core/internal/rs_packet_search_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_search_impl.hpp
@@ -28,6 +28,13 @@
         std::max(now, last_list_at_ + options_.list_interval);
 }
 
+template <packet_sink Sink>
+void packet_balancer::send_search_message(
+    instant now, endpoint agent, agent_packet const& message, Sink& sink) {
+    search_budget_.take(now, message_overhead + message.packet.size());
+    sink.send(agent, message);
+}
+
 // Queries do not contain the packet: for a service with many agents behind a
 // slow link, it would delay the flows that are found.
 template <packet_sink Sink>
@@ -37,7 +44,7 @@
     constexpr unsigned max_backoff_factor = 4;
     search.next_query_at =
         now + options_.search_interval * search.backoff_factor;
-    if (search_rate_.count(now) >= options_.max_search_datagrams)
+    if (!search_budget_.has_left(now))
         return;
     auto queried = query_stage(now, flow, search, sink);
     if (queried == 0 && search.stage == search_stage::local) {
@@ -47,7 +54,9 @@
     if (search.stage == search_stage::all && search.queried_all_at == instant{})
         search.queried_all_at = now;
     if (search.stage == search_stage::local)
-        search.next_query_at = now + options_.stage_timeout;
+        search.next_query_at =
+            now + (search.packet_sent_to.empty() ? options_.stage_timeout
+                                                 : options_.local_probe_period);
     else
         search.backoff_factor =
             std::min(search.backoff_factor * 2, max_backoff_factor);
@@ -60,15 +69,16 @@
 template <packet_sink Sink>
 void packet_balancer::query_agent(instant now, endpoint agent,
     packet_flow const& flow, internal::flow_search const& search, Sink& sink) {
-    if (search_rate_.count(now) >= options_.max_search_datagrams)
+    if (!search_budget_.has_left(now))
         return;
-    search_rate_.add(now);
-    sink.send(agent, {.kind = agent_packet_kind::locate,
-                         .must_reply = true,
-                         .service = search.service,
-                         .route_version = view_.route_version(),
-                         .handshake = search.acknowledged,
-                         .flow = flow});
+    send_search_message(now, agent,
+        {.kind = agent_packet_kind::locate,
+            .must_reply = true,
+            .service = search.service,
+            .route_version = view_.route_version(),
+            .handshake = search.acknowledged,
+            .flow = flow},
+        sink);
 }
 
 template <packet_sink Sink>
@@ -90,10 +100,13 @@
             std::find(queried.begin(), queried.end(), agent) != queried.end())
             continue;
         queried.push_back(agent);
-        search_rate_.add(now);
+        if (loads_.is_uncertain(now, agent)) {
+            send_probe_packet(now, agent, flow, search, sink);
+            continue;
+        }
         if (queries_all)
             loads_.request_sent(now, agent);
-        sink.send(agent, message);
+        send_search_message(now, agent, message, sink);
     }
     return queried.size();
 }
@@ -121,7 +134,7 @@
     if (found == searches_.end() || found->second.was_rejected_by(from))
         return;
     auto& search = found->second;
-    search.rejected_by.push_back(from);
+    search.rejected_by.insert(from);
     if (reset_if_not_found(now, flow, search, sink))
         searches_.erase(found);
 }
@@ -192,31 +205,34 @@
 // Only the backend server knows whether it holds the flow; the agent passes one
 // packet of the flow to it.
 template <packet_sink Sink>
-void packet_balancer::send_probe_packet(
-    instant now, endpoint agent, packet_flow const& flow, Sink& sink) {
-    auto const found = searches_.find(flow);
-    if (found == searches_.end() || found->second.retained.empty())
-        return;
-    auto& sent_to = found->second.packet_sent_to;
-    if (std::find(sent_to.begin(), sent_to.end(), agent) != sent_to.end() ||
-        search_rate_.count(now) >= options_.max_search_datagrams)
+void packet_balancer::send_probe_packet(instant now, endpoint agent,
+    packet_flow const& flow, internal::flow_search& search, Sink& sink) {
+    if (search.retained.empty() || search.packet_sent_to.contains(agent) ||
+        !search_budget_.has_left(now))
         return;
-    sent_to.push_back(agent);
-    search_rate_.add(now);
-    sink.send(agent, {.kind = agent_packet_kind::locate,
-                         .service = found->second.service,
-                         .route_version = view_.route_version(),
-                         .handshake = found->second.acknowledged,
-                         .flow = flow,
-                         .packet = found->second.retained.back()});
+    search.packet_sent_to.insert(agent);
+    search.packet_sent_at = now;
+    send_search_message(now, agent,
+        {.kind = agent_packet_kind::locate,
+            .service = search.service,
+            .route_version = view_.route_version(),
+            .handshake = search.acknowledged,
+            .flow = flow,
+            .packet = search.retained.back()},
+        sink);
 }
 
 template <packet_sink Sink>
 void packet_balancer::on_not_held(instant now, endpoint from,
     agent_packet const& message, flow_packet const* packet, Sink& sink) {
     loads_.reply_received(from);
-    if (message.is_uncertain)
-        return send_probe_packet(now, from, message.flow, sink);
+    if (message.is_uncertain) {
+        loads_.certainty_reported(now, from, true);
+        auto const found = searches_.find(message.flow);
+        if (found != searches_.end())
+            send_probe_packet(now, from, message.flow, found->second, sink);
+        return;
+    }
     if (message.is_locate_reply)
         return on_rejected(now, from, message.flow, sink);
     auto const it = flows_.find(message.flow);
--- a/packages/core/include/radishspread/core/rs_agent_packet.hpp
+++ b/packages/core/include/radishspread/core/rs_agent_packet.hpp
@@ -34,6 +34,10 @@
 /// Value of `agent_packet::cold_rate` for one opening per second.
 inline constexpr std::uint16_t cold_rate_units = 16;
 
+/// Bytes of a message on the link besides its packet: 44 of the message itself,
+/// 28 of UDP and IP.
+inline constexpr std::size_t message_overhead = 72;
+
 /// Message between a balancer and an agent. Fields that do not apply to a kind
 /// are 0.
 struct agent_packet {
--- a/packages/core/include/radishspread/core/rs_packet_balancer.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_balancer.hpp
@@ -2,12 +2,12 @@
 #define RADISHSPREAD_CORE_RS_PACKET_BALANCER_HPP
 
 #include <radishspread/core/internal/rs_agent_loads.hpp>
+#include <radishspread/core/internal/rs_byte_budget.hpp>
 #include <radishspread/core/internal/rs_flow_cache.hpp>
 #include <radishspread/core/internal/rs_flow_search.hpp>
 #include <radishspread/core/internal/rs_jitter.hpp>
 #include <radishspread/core/internal/rs_pending_opening.hpp>
 #include <radishspread/core/internal/rs_placement.hpp>
-#include <radishspread/core/internal/rs_rate_window.hpp>
 #include <radishspread/core/internal/rs_retry_tokens.hpp>
 #include <radishspread/core/rs_fleet_view.hpp>
 #include <radishspread/core/rs_flow_list.hpp>
@@ -97,6 +97,10 @@
     template <packet_sink Sink>
     std::size_t query_stage(instant now, packet_flow const& flow,
         internal::flow_search& search, Sink& sink);
+    /// Sends a message of a search and counts it towards the limit.
+    template <packet_sink Sink>
+    void send_search_message(
+        instant now, endpoint agent, agent_packet const& message, Sink& sink);
     /// Queries one agent, which must reply.
     template <packet_sink Sink>
     void query_agent(instant now, endpoint agent, packet_flow const& flow,
@@ -109,6 +113,13 @@
     template <packet_sink Sink>
     void on_listed(
         instant now, endpoint from, agent_packet const& message, Sink& sink);
+    /// True if a list of the agent's flows can advance any search of the
+    /// service.
+    [[nodiscard]] bool needs_list_of(
+        instant now, std::uint32_t service, endpoint agent) const;
+    /// True if an uncertain agent may be sent a packet of the flow.
+    [[nodiscard]] bool may_probe(
+        instant now, endpoint agent, internal::flow_search const& search) const;
     /// Records that the lists requested now cover the search.
     void mark_list_requested(instant now, internal::flow_search& search) const;
     /// Sends the packets retained in the search to the holder and removes the
@@ -132,8 +143,12 @@
     /// Sends a packet of the flow to an agent that cannot otherwise determine
     /// whether its backend server holds the flow.
     template <packet_sink Sink>
-    void send_probe_packet(
-        instant now, endpoint agent, packet_flow const& flow, Sink& sink);
+    void send_probe_packet(instant now, endpoint agent, packet_flow const& flow,
+        internal::flow_search& search, Sink& sink);
+    /// Sends a packet of each flow that is searched for to an uncertain agent.
+    template <packet_sink Sink>
+    void probe_for_all_searches(
+        instant now, std::uint32_t service, endpoint agent, Sink& sink);
     /// Finds the service of the opening and sends the opening to a first agent.
     /// Returns false if the opening has ended.
     template <packet_sink Sink>
@@ -202,11 +217,11 @@
     std::uint32_t list_number_ = 0; ///< Number of the last request for lists.
     instant last_list_at_;
     internal::agent_loads loads_;
-    internal::rate_window search_rate_{std::chrono::seconds(1)};
+    internal::byte_budget search_budget_;
     internal::retry_tokens retries_;
     internal::jitter random_;
     bool is_proven_ = false;
-    bool is_isolated_ = false; ///< No agent can be reached; as last logged.
+    bool is_isolated_ = false;   ///< No agent can be reached; as last logged.
     instant last_event_at_;
     instant next_sweep_at_;
 };
--- a/packages/core/include/radishspread/core/rs_packet_balancer_options.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_balancer_options.hpp
@@ -40,13 +40,20 @@
     /// Shortest time until a search that has found no holder queries all agents
     /// again. It doubles after each query, up to a maximum.
     duration search_interval = std::chrono::milliseconds(100);
-    /// Search messages per second; about a fifth of a 10 Mbit/s link.
-    std::size_t max_search_datagrams = 2500;
+    /// Limit of the bytes of search messages in any second; the default is half
+    /// of a link of 10 Mbit/s.
+    std::size_t search_bytes_per_second = 625'000;
     /// Number of concurrent searches from which on agents are queried for lists
     /// of their flows instead of single flows.
     std::size_t min_searches_for_lists = 6;
     /// Shortest delay of a new search after the last request for lists.
     duration list_interval = std::chrono::milliseconds(50);
+    /// Age of a search up to which its packet is sent only to uncertain agents
+    /// of the own failure domain, while lists are requested.
+    duration local_probe_period = std::chrono::milliseconds(40);
+    /// An uncertain agent that has not replied to a packet for this long is
+    /// queried again.
+    duration probe_reply_timeout = std::chrono::milliseconds(200);
     /// A search is removed this long after the caller's last packet.
     duration search_age_limit = std::chrono::seconds(3);
     /// A removed backend server may still run after its announcement has
--- a/packages/core/src/rs_agent_loads.cpp
+++ b/packages/core/src/rs_agent_loads.cpp
@@ -13,6 +13,10 @@
 /// the agent has failed.
 constexpr unsigned min_unreplied_for_unresponsive = 4;
 
+/// Time after which an uncertain agent is asked again: its table becomes
+/// complete with the announcement of its backend server.
+constexpr duration uncertainty_age_limit = std::chrono::milliseconds(300);
+
 } // namespace
 
 void agent_loads::load_reported(
@@ -70,6 +74,12 @@
     load.suspect_until = {};
 }
 
+void agent_loads::certainty_reported(
+    instant now, endpoint agent, bool is_uncertain) {
+    loads_[agent].uncertain_until =
+        is_uncertain ? now + uncertainty_age_limit : instant{};
+}
+
 void agent_loads::clear_unreplied() {
     reachability_.reply_received();
     for (auto& [agent, load] : loads_)
@@ -89,6 +99,11 @@
     return it != loads_.end() && it->second.suspect_until > now;
 }
 
+bool agent_loads::is_uncertain(instant now, endpoint agent) const {
+    auto const it = loads_.find(agent);
+    return it != loads_.end() && it->second.uncertain_until > now;
+}
+
 double agent_loads::load_per_slot(
     instant now, endpoint agent, unsigned slots) const {
     auto const it = loads_.find(agent);
--- a/packages/core/src/rs_packet_balancer.cpp
+++ b/packages/core/src/rs_packet_balancer.cpp
@@ -6,8 +6,9 @@
 namespace radishspread {
 
 packet_balancer::packet_balancer(packet_balancer_options options)
-    : options_(options), loads_(options.load_age_limit), random_(options.seed) {
-}
+    : options_(options),
+      loads_(options.load_age_limit),
+      search_budget_(options.search_bytes_per_second), random_(options.seed) {}
 
 endpoint packet_balancer::agent_of(fleet_view::member const& member) const {
     return {.address = member.backend.address, .port = options_.agent_port};
@@ -30,6 +31,33 @@
     search.next_query_at = now + options_.search_interval;
 }
 
+// Requests to agents that have nothing left to reply would use up the limit of
+// search messages and delay the packets to uncertain agents.
+bool packet_balancer::needs_list_of(
+    instant now, std::uint32_t service, endpoint agent) const {
+    bool const is_uncertain = loads_.is_uncertain(now, agent);
+    return std::any_of(
+        searches_.begin(), searches_.end(), [&](auto const& entry) {
+            auto const& search = entry.second;
+            if (search.service != service || search.was_rejected_by(agent))
+                return false;
+            if (!search.packet_sent_to.contains(agent))
+                return !is_uncertain;
+            return now - search.packet_sent_at >= options_.probe_reply_timeout;
+        });
+}
+
+// After a restart of all agents, every agent is uncertain about every flow.
+// Most flows are opened at an agent of the balancer's own failure domain, so
+// sending the packet there first finds most holders with few packets.
+bool packet_balancer::may_probe(
+    instant now, endpoint agent, internal::flow_search const& search) const {
+    auto const* member = find_member(agent);
+    bool const is_local =
+        member != nullptr && member->domain == options_.domain;
+    return is_local || now - search.started_at >= options_.local_probe_period;
+}
+
 bool packet_balancer::is_rejected_by_all(
     instant now, internal::flow_search const& search) const {
     bool const had_time =
--- a/packages/core/tests/rs_packet_search_test.cpp
+++ b/packages/core/tests/rs_packet_search_test.cpp
@@ -109,8 +109,9 @@
             core.handle_caller(at(ms), caller_packet_of(flow_of(n), 7), sink);
         core.tick(at(ms + 20), sink);
     }
-    CHECK(sink.count(agent_packet_kind::locate) <=
-          packet_balancer_options{}.max_search_datagrams + 3);
+    constexpr packet_balancer_options defaults;
+    CHECK(sink.count(agent_packet_kind::locate) * message_overhead <=
+          defaults.search_bytes_per_second + 3 * message_overhead);
     core.tick(at(4900), sink); // Removes these searches.
     sink.clear();
     core.handle_caller(at(5000), caller_packet_of(flow_of(900), 7), sink);
@@ -150,7 +151,7 @@
     flow_is_not_reset_by_a_read_while_queries_are_delayed) {
     packet_balancer small{packet_balancer_options{.domain = test_domain,
         .agent_port = agent_port,
-        .max_search_datagrams = 3}};
+        .search_bytes_per_second = 4 * 3 * message_overhead}};
     small.start(at(0), sink);
     small.view().apply(at(0), routes_of(5, 1));
     for (std::uint32_t n = 1; n <= 3; ++n)
@@ -309,3 +310,69 @@
     CHECK_EQUAL(flows, sink.count(agent_packet_kind::locate));
     CHECK(sink.sent[0].packet.empty());
 }
+
+// Requests to agents that had replied used up the limit of search messages. In
+// the second after a power loss, nothing was left for the other agents.
+TEST(packet_balancer_lists, agent_with_nothing_left_to_reply_gets_no_request) {
+    list(1, 1, 111);
+    list(2, 1, 111);
+    sink.clear();
+    core.tick(at(220), sink);
+    CHECK_EQUAL(1, sink.count(agent_packet_kind::list));
+    CHECK(sink.sent[0].to == agent_address(3));
+}
+
+// After a restart of all agents each is uncertain about every flow. When the
+// packets went to the agents of all failure domains at once, most of them
+// waited for a second, although the holders are mostly near.
+TEST(packet_balancer_lists, packets_go_to_local_uncertain_agents_first) {
+    constexpr std::uint32_t remote = 4;
+    auto change = announcement_of(remote, 9);
+    std::get<backend_announcement>(change.content).domain = test_domain + 1;
+    core.view().apply(at(110), change);
+    sink.clear();
+    list(remote, 1, 111, {}, true);
+    CHECK_EQUAL(0, sink.count(agent_packet_kind::locate));
+    list(1, 1, 112, {}, true);
+    CHECK_EQUAL(flows, sink.count(agent_packet_kind::locate));
+    core.tick(at(220), sink);
+    CHECK_EQUAL(2 * flows, sink.count(agent_packet_kind::locate));
+    CHECK(sink.sent.back().to == agent_address(remote) ||
+          sink.sent.back().message.kind == agent_packet_kind::list);
+}
+
+// Another list of an agent that has just been uncertain delays the packet that
+// it needs by a round trip.
+TEST(packet_balancer_lists, uncertain_agent_is_sent_packets_of_new_searches) {
+    list(1, 1, 111, {}, true);
+    for (std::uint32_t n = 2; n <= 3; ++n)
+        list(n, 1, 111);
+    core.handle_caller(at(120), caller_packet_of(flow_of(101), 7), sink);
+    sink.clear();
+    core.tick(at(170), sink);
+    auto const to_first = [&](agent_packet_kind kind) {
+        return std::count_if(
+            sink.sent.begin(), sink.sent.end(), [&](auto const& it) {
+                return it.to == agent_address(1) && it.message.kind == kind;
+            });
+    };
+    CHECK_EQUAL(1, to_first(agent_packet_kind::locate));
+    CHECK_EQUAL(0, to_first(agent_packet_kind::list));
+}
+
+// The backend server may be gone, so that the probe has no reply. The agent
+// then needs a second to be certain, and must be queried again.
+TEST(packet_balancer_lists, agent_without_reply_to_a_packet_is_queried_again) {
+    list(1, 1, 111, {}, true);
+    for (std::uint32_t n = 2; n <= 3; ++n)
+        list(n, 1, 111);
+    sink.clear();
+    core.tick(at(250), sink);
+    CHECK_EQUAL(0, sink.count(agent_packet_kind::list));
+    core.tick(at(360), sink);
+    CHECK_EQUAL(1, sink.count(agent_packet_kind::list));
+    CHECK_EQUAL(0, sink.count(agent_packet_kind::locate));
+    list(1, 2, 365);
+    core.view_confirmed(at(380), at(366), sink);
+    CHECK_EQUAL(flows, sink.resets.size());
+}
--- a/packages/runtime/include/radishspread/runtime/rs_packet_balancer_process.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_balancer_process.hpp
@@ -52,10 +52,17 @@
     static constexpr duration member_collect_interval =
         std::chrono::milliseconds(500);
 
+    static constexpr double bytes_per_mbit = 125'000;
+
+    /// The other half of the link is left to the callers' packets.
+    static constexpr double search_link_share = 0.5;
+
     static packet_balancer_options make_options(
         config::packet_settings const& settings) {
         return {.domain = name_tag(settings.failure_domain),
             .agent_port = settings.packet_address.port,
+            .search_bytes_per_second = static_cast<std::size_t>(
+                settings.link_mbit_per_s * bytes_per_mbit * search_link_share),
             .seed = random_number()};
     }
 
