Take no agent for failed because of replies missed in isolation

Cause: requests that a balancer sends while it reaches no agent counted against each agent. After 1.5 s of isolation any agent that had not replied again was no longer required to reject a flow, so that one rejection, a confirmed read and 100 ms reset a flow that was open. The checks sent in isolation also went only to agents asked before, and with fewer than four agents several times to the same one. Change: the first reply after isolation clears the missing replies of all agents, requests within 100 ms count as one, and checks go once each to the members of the view in turn. Tests: packet_balancer_reachability, each_agent_of_the_view_is_checked_once and missing_replies_during_isolation_reset_no_open_flow fail without the change; lost_replies_to_checks_make_no_agent_unresponsive guards the burst.

--- a/packages/core/include/radishspread/core/internal/rs_agent_loads.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_agent_loads.hpp
@@ -19,14 +19,18 @@
     unsigned consecutive_misses = 0; ///< Openings in a row without a reply.
     instant suspect_until;
     instant unreplied_since; ///< Time of the first unreplied request.
-    unsigned unreplied = 0;  ///< Requests since then.
+    unsigned unreplied = 0;  ///< Requests since then; a burst counts as one.
+    instant last_counted_at; ///< Time of the last request in `unreplied`.
     instant uncertain_until; ///< Its flow table may be incomplete until then.
 };
 
 /// Load and health of the agents. The only source is their replies.
 class agent_loads {
 public:
-    explicit agent_loads(duration age_limit) : age_limit_(age_limit) {}
+    /// Load reports are ignored after `age_limit`. While no agent has replied
+    /// for `isolation_timeout`, missing replies count for no single agent.
+    agent_loads(duration age_limit, duration isolation_timeout)
+        : age_limit_(age_limit), isolation_timeout_(isolation_timeout) {}
 
     /// Records a reply that carries the load of the agent.
     void load_reported(instant now, endpoint agent, agent_packet const& reply);
@@ -39,7 +43,7 @@
     bool reply_missed(instant now, endpoint agent, duration suspect_time);
     void mark_suspect(endpoint agent, instant until);
     /// Records a reply that carries no load.
-    void reply_received(endpoint agent);
+    void reply_received(instant now, endpoint agent);
     /// Records whether the agent's flow table may be incomplete.
     void certainty_reported(instant now, endpoint agent, bool is_uncertain);
     /// Discards the records of missing replies after a pause of the process,
@@ -50,10 +54,6 @@
     [[nodiscard]] agent_reachability const& reachability() const {
         return reachability_;
     }
-    /// Returns all known agents in turn, one at each call; an unset endpoint if
-    /// none is known.
-    [[nodiscard]] endpoint next_agent();
-
     /// True if several requests in a row to the agent have had no reply and the
     /// first of them was sent at least `limit` ago.
     [[nodiscard]] bool is_unresponsive(
@@ -71,9 +71,9 @@
 
 private:
     duration age_limit_;
+    duration isolation_timeout_;
     std::map<endpoint, agent_load> loads_;
     agent_reachability reachability_;
-    endpoint last_checked_;
 };
 
 } // namespace radishspread::internal
--- a/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
@@ -348,8 +348,10 @@
 
 // An isolated balancer still receives callers' packets, so it leaves the
 // rotation. From then on no caller causes a request to an agent, and only
-// checks can detect that agents are reachable again. A request for the list of
-// no service is the shortest request that every agent replies to.
+// checks can detect that agents are reachable again. They go to all members of
+// the view in turn, since the agents asked so far may all have failed. A
+// request for the list of no service is the shortest one that every agent
+// replies to.
 template <packet_sink Sink>
 void packet_balancer::check_reachability(instant now, Sink& sink) {
     constexpr int checks_per_tick = 4;
@@ -365,11 +367,17 @@
     }
     if (!reachability.needs_check(now, options_.reachability_check_timeout))
         return;
+    std::string first;
     for (int n = 0; n != checks_per_tick; ++n) {
-        auto const agent = loads_.next_agent();
-        loads_.request_sent(now, agent);
-        sink.send(agent, {.kind = agent_packet_kind::list,
-                             .route_version = view_.route_version()});
+        auto const* member = view_.next_member(checked_member_);
+        if (member == nullptr || checked_member_ == first)
+            return; // All members have been checked.
+        if (n == 0)
+            first = checked_member_;
+        loads_.request_sent(now, agent_of(*member));
+        sink.send(
+            agent_of(*member), {.kind = agent_packet_kind::list,
+                                   .route_version = view_.route_version()});
     }
 }
 
--- a/packages/core/include/radishspread/core/internal/rs_packet_list_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_list_impl.hpp
@@ -60,7 +60,7 @@
 template <packet_sink Sink>
 void packet_balancer::on_listed(
     instant now, endpoint from, agent_packet const& message, Sink& sink) {
-    loads_.reply_received(from);
+    loads_.reply_received(now, from);
     loads_.certainty_reported(now, from, message.is_uncertain);
     auto const listed = decode_flow_list(message.packet);
     bool const is_too_long = message.why == refusal::overloaded;
--- a/packages/core/include/radishspread/core/internal/rs_packet_search_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_search_impl.hpp
@@ -225,7 +225,7 @@
 template <packet_sink Sink>
 void packet_balancer::on_not_held(instant now, endpoint from,
     agent_packet const& message, flow_packet const* packet, Sink& sink) {
-    loads_.reply_received(from);
+    loads_.reply_received(now, from);
     if (message.is_uncertain) {
         loads_.certainty_reported(now, from, true);
         auto const found = searches_.find(message.flow);
--- a/packages/core/include/radishspread/core/rs_fleet_view.hpp
+++ b/packages/core/include/radishspread/core/rs_fleet_view.hpp
@@ -74,6 +74,9 @@
     /// Members whose backend servers run on the host.
     [[nodiscard]] std::span<member const* const> members_at(
         std::uint32_t host) const;
+    /// The member whose name follows `name`, or the first one; null if there is
+    /// none. Sets `name` to its name, so that calls in a row return all.
+    [[nodiscard]] member const* next_member(std::string& name) const;
     /// True if the member may be given openings.
     [[nodiscard]] bool is_eligible(instant now, member const& it) const;
     /// Time at which the failure domain was put back into service; default if
--- a/packages/core/include/radishspread/core/rs_packet_balancer.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_balancer.hpp
@@ -222,6 +222,7 @@
     internal::jitter random_;
     bool is_proven_ = false;
     bool is_isolated_ = false;   ///< No agent can be reached; as last logged.
+    std::string checked_member_; ///< Member whose agent was checked last.
     instant last_event_at_;
     instant next_sweep_at_;
 };
--- a/packages/core/src/rs_agent_loads.cpp
+++ b/packages/core/src/rs_agent_loads.cpp
@@ -13,6 +13,10 @@
 /// the agent has failed.
 constexpr unsigned min_unreplied_for_unresponsive = 4;
 
+/// Requests closer together count as one, since their replies may be lost
+/// together.
+constexpr duration unreplied_interval = std::chrono::milliseconds(100);
+
 /// Time after which an uncertain agent is asked again: its table becomes
 /// complete with the announcement of its backend server.
 constexpr duration uncertainty_age_limit = std::chrono::milliseconds(300);
@@ -26,7 +30,7 @@
     load.flows = reply.flows;
     load.slots = reply.slots;
     load.reported_at = now;
-    reply_received(agent);
+    reply_received(now, agent);
 }
 
 void agent_loads::request_sent(instant now, endpoint agent) {
@@ -34,6 +38,9 @@
     auto& load = loads_[agent];
     if (load.unreplied == 0)
         load.unreplied_since = now;
+    else if (now - load.last_counted_at < unreplied_interval)
+        return;
+    load.last_counted_at = now;
     ++load.unreplied;
 }
 
@@ -66,7 +73,9 @@
     loads_[agent].suspect_until = until;
 }
 
-void agent_loads::reply_received(endpoint agent) {
+void agent_loads::reply_received(instant now, endpoint agent) {
+    if (reachability_.none_reachable(now, isolation_timeout_))
+        clear_unreplied();
     reachability_.reply_received();
     auto& load = loads_[agent];
     load.consecutive_misses = 0;
@@ -86,14 +95,6 @@
         load.unreplied = 0;
 }
 
-endpoint agent_loads::next_agent() {
-    auto it = loads_.upper_bound(last_checked_);
-    if (it == loads_.end())
-        it = loads_.begin();
-    last_checked_ = it == loads_.end() ? endpoint{} : it->first;
-    return last_checked_;
-}
-
 bool agent_loads::is_suspect(instant now, endpoint agent) const {
     auto const it = loads_.find(agent);
     return it != loads_.end() && it->second.suspect_until > now;
--- a/packages/core/src/rs_fleet_view.cpp
+++ b/packages/core/src/rs_fleet_view.cpp
@@ -211,6 +211,16 @@
     return it->second;
 }
 
+fleet_view::member const* fleet_view::next_member(std::string& name) const {
+    auto it = members_.upper_bound(name);
+    if (it == members_.end())
+        it = members_.begin();
+    if (it == members_.end())
+        return nullptr;
+    name = it->first;
+    return &it->second;
+}
+
 bool fleet_view::is_eligible(instant now, member const& it) const {
     return !(it.is_removed && now >= it.removal_effective_at) &&
            !it.is_draining && !is_out(it.domain);
--- a/packages/core/src/rs_packet_balancer.cpp
+++ b/packages/core/src/rs_packet_balancer.cpp
@@ -7,7 +7,7 @@
 
 packet_balancer::packet_balancer(packet_balancer_options options)
     : options_(options),
-      loads_(options.load_age_limit),
+      loads_(options.load_age_limit, options.isolation_timeout),
       search_budget_(options.search_bytes_per_second), random_(options.seed) {}
 
 endpoint packet_balancer::agent_of(fleet_view::member const& member) const {
--- a/packages/core/tests/rs_packet_balancer_reachability_test.cpp
+++ b/packages/core/tests/rs_packet_balancer_reachability_test.cpp
@@ -99,3 +99,57 @@
     core.view_confirmed(at(3010), at(3005), sink);
     CHECK(core.is_serving(at(3010)));
 }
+
+// A balancer that had asked only one agent, now failed, would have called
+// itself isolated although others could be reached. With few agents it asked
+// the same one several times in a row.
+TEST(packet_balancer_reachability, each_agent_of_the_view_is_checked_once) {
+    core.handle_caller(at(0), opening_packet(flow_of(1)), sink);
+    core.tick(at(250), sink);
+    CHECK_EQUAL(3, sink.count(agent_packet_kind::list));
+    for (std::uint32_t n = 1; n <= 3; ++n)
+        CHECK(std::any_of(
+            sink.sent.begin(), sink.sent.end(), [&](auto const& it) {
+                return it.to == agent_address(n) &&
+                       it.message.kind == agent_packet_kind::list;
+            }));
+}
+
+// While a balancer is isolated no agent replies, so that their missing replies
+// prove nothing. An agent that replied 150 ms after the isolation had ended
+// was taken for failed, and an open flow that it held was reset.
+TEST(packet_balancer_reachability,
+    missing_replies_during_isolation_reset_no_open_flow) {
+    pass_time_with_openings(0, 2000);
+    CHECK(!core.is_serving(at(2000)));
+    deliver_reply(agent_address(1),
+        {.kind = agent_packet_kind::listed, .route_version = 5}, 2000);
+    core.handle_caller(at(2010), caller_packet_of(flow_of(900), 7), sink);
+    core.tick(at(2030), sink);
+    for (std::uint32_t n = 1; n <= 2; ++n)
+        reply_not_held(n, flow_of(900), 2035);
+    core.view_confirmed(at(2050), at(2040), sink);
+    core.tick(at(2180), sink);
+    CHECK(sink.resets.empty());
+}
+
+// Replies to a burst of checks may be lost together, long before the next
+// request to the agent.
+TEST(packet_balancer_reachability,
+    lost_replies_to_checks_make_no_agent_unresponsive) {
+    pass_time_with_openings(0, 390);
+    deliver_reply(agent_address(1),
+        {.kind = agent_packet_kind::listed, .route_version = 5}, 395);
+    CHECK(core.is_serving(at(395)));
+    for (int ms = 400; ms < 2000; ms += 100) {
+        core.tick(at(ms), sink);
+        reply_held(agent_address(1), flow_of(901), ms + 10);
+    }
+    core.handle_caller(at(2010), caller_packet_of(flow_of(900), 7), sink);
+    core.tick(at(2030), sink);
+    for (std::uint32_t n = 1; n <= 2; ++n)
+        reply_not_held(n, flow_of(900), 2035);
+    core.view_confirmed(at(2050), at(2040), sink);
+    core.tick(at(2180), sink);
+    CHECK(sink.resets.empty());
+}
