Collect changes of backend servers for a share of the drain bound

Cause: each watch that ends costs a call, and every process follows all announcements. The intervals for which changes are collected were constants that suit a drain bound of 2 to 3 s; the large deployment allows 6 s. Change: balancers collect for a quarter of the bound, agents for three quarters (new setting drain_bound_ms, from the platform's bounds). While the routes limit openings at cold backend servers the constants stay, because a restarted one is announced as cold and must be known at once.

--- a/packages/config/include/radishspread/config/rs_packet_settings.hpp
+++ b/packages/config/include/radishspread/config/rs_packet_settings.hpp
@@ -25,9 +25,12 @@
     std::vector<endpoint> peers; ///< Hosts of other processes; port is unused.
     duration stop_deadline = std::chrono::seconds(5);
     double link_mbit_per_s = 10; ///< Bandwidth of the host's link.
-    endpoint backend_address;    ///< Agent: the backend server receives here.
-    endpoint outbound_address;   ///< Agent: the backend server sends here.
-    std::string service;         ///< Agent: name of the service.
+    /// Time within which no opening may go to a backend server any more once
+    /// the configuration service has acknowledged that it drains.
+    duration drain_bound = std::chrono::seconds(2);
+    endpoint backend_address;  ///< Agent: the backend server receives here.
+    endpoint outbound_address; ///< Agent: the backend server sends here.
+    std::string service;       ///< Agent: name of the service.
 
     friend bool operator==(
         packet_settings const&, packet_settings const&) = default;
--- a/packages/config/src/rs_packet_settings.cpp
+++ b/packages/config/src/rs_packet_settings.cpp
@@ -16,6 +16,9 @@
 constexpr double min_link_mbit_per_s = 0.1;
 constexpr double max_link_mbit_per_s = 1'000'000;
 
+constexpr double min_drain_bound_ms = 100;
+constexpr double max_drain_bound_ms = 3'600'000;
+
 endpoint read_endpoint(map_reader& top, std::string_view key) {
     return top.address_and_port(key).value_or(endpoint{});
 }
@@ -62,6 +65,11 @@
     auto const link = top.fraction("link_mbit_per_s", min_link_mbit_per_s,
         max_link_mbit_per_s, presence::optional);
     out.link_mbit_per_s = link.value_or(out.link_mbit_per_s);
+    auto const drain = top.fraction("drain_bound_ms", min_drain_bound_ms,
+        max_drain_bound_ms, presence::optional);
+    if (drain)
+        out.drain_bound =
+            std::chrono::milliseconds(static_cast<std::int64_t>(*drain));
     if (out.role == role::agent)
         read_agent(top, out);
     top.finish();
--- a/packages/core/include/radishspread/core/rs_fleet_view.hpp
+++ b/packages/core/include/radishspread/core/rs_fleet_view.hpp
@@ -64,6 +64,8 @@
     [[nodiscard]] std::uint64_t route_version() const { return version_; }
     [[nodiscard]] bool is_out(std::uint32_t domain) const;
     [[nodiscard]] service_warmup warmup_of(std::uint32_t service) const;
+    /// True if any service limits the openings at cold backend servers.
+    [[nodiscard]] bool has_warmup_limit() const;
     /// Members of a service, including those whose removal took effect less
     /// than `removed_member_limit` ago.
     [[nodiscard]] std::span<member const* const> members_of(
--- a/packages/core/src/rs_fleet_view.cpp
+++ b/packages/core/src/rs_fleet_view.cpp
@@ -182,6 +182,11 @@
     return {.service = service};
 }
 
+bool fleet_view::has_warmup_limit() const {
+    return std::any_of(warmups_.begin(), warmups_.end(),
+        [](auto const& it) { return it.openings_per_second > 0; });
+}
+
 std::span<fleet_view::member const* const> fleet_view::members_of(
     std::uint32_t service) const {
     auto const it = by_service_.find(service);
--- a/packages/core/tests/rs_fleet_view_test.cpp
+++ b/packages/core/tests/rs_fleet_view_test.cpp
@@ -139,3 +139,15 @@
     view.finish_read(at(2), "backend/", {}, 100);
     CHECK(!view.apply(at(3), announcement_of(1, 50)));
 }
+
+// Balancers collect changes of backend servers for longer if no service limits
+// the openings at cold ones.
+TEST(fleet_view, warmup_limit_of_any_service_is_reported) {
+    view.apply(at(0), routes_of(5, 1));
+    CHECK(!view.has_warmup_limit());
+    auto change = routes_of(6, 2);
+    std::get<route_set>(change.content).warmups = {
+        {.service = 1}, {.service = 2, .openings_per_second = 4}};
+    view.apply(at(0), change);
+    CHECK(view.has_warmup_limit());
+}
--- a/packages/runtime/include/radishspread/runtime/rs_packet_agent_process.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_agent_process.hpp
@@ -52,15 +52,27 @@
     static constexpr duration watch_wait = std::chrono::seconds(10);
     static constexpr duration collect_interval =
         std::chrono::milliseconds(1500);
-    /// Longer than `collect_interval`, because all but one of these changes are
-    /// about backend servers of other agents.
+    /// While a service limits the openings at cold backend servers. Longer than
+    /// `collect_interval`, because all but one of these changes are about
+    /// backend servers of other agents.
     static constexpr duration member_collect_interval =
         std::chrono::milliseconds(2500);
-    /// Replaces `member_collect_interval` until the announcement of the agent's
-    /// backend server has been read.
+    /// Share of the drain bound for which changes of backend servers are
+    /// collected otherwise.
+    static constexpr double drain_bound_share = 0.75;
+    /// Until the announcement of the agent's backend server has been read.
     static constexpr duration initial_collect_interval =
         std::chrono::milliseconds(200);
 
+    [[nodiscard]] duration collect_interval_of_members() const {
+        if (core_.awaits_announcement(shell_.now()))
+            return initial_collect_interval;
+        if (core_.view().has_warmup_limit())
+            return member_collect_interval;
+        return std::chrono::duration_cast<duration>(
+            shell_.settings().drain_bound * drain_bound_share);
+    }
+
     static packet_agent_options make_options(
         config::packet_settings const& settings) {
         return {.service = name_tag(settings.service),
@@ -122,9 +134,7 @@
         this->log_changes(page);
         if (sources_.is_complete())
             core_.view_changed(shell_.now(), *this);
-        sources_.set_member_collect_interval(
-            core_.awaits_announcement(shell_.now()) ? initial_collect_interval
-                                                    : member_collect_interval);
+        sources_.set_member_collect_interval(collect_interval_of_members());
         schedule();
     }
 };
--- a/packages/runtime/include/radishspread/runtime/rs_packet_balancer_process.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_balancer_process.hpp
@@ -47,11 +47,23 @@
     /// failed readiness polls.
     static constexpr duration shutdown_delay = std::chrono::milliseconds(1800);
 
-    /// Learning late of a backend server that leaves costs only a hop: its
-    /// agent declines the opening.
+    /// A backend server that has restarted is announced as cold. While a
+    /// service limits the openings at cold ones, balancers must learn of it
+    /// before they send more.
     static constexpr duration member_collect_interval =
         std::chrono::milliseconds(500);
 
+    /// Share of the drain bound for which changes of backend servers are
+    /// collected otherwise. Learning of a new one later costs little, and the
+    /// agent of one that leaves declines openings too.
+    static constexpr int drain_bound_divisor = 4;
+
+    [[nodiscard]] duration collect_interval() const {
+        return core_.view().has_warmup_limit()
+                   ? member_collect_interval
+                   : shell_.settings().drain_bound / drain_bound_divisor;
+    }
+
     static constexpr double bytes_per_mbit = 125'000;
 
     /// The other half of the link is left to the callers' packets.
@@ -119,6 +131,7 @@
 
     void handle_page(item_page const& page, bool is_complete_read) {
         this->log_changes(page);
+        sources_.set_member_collect_interval(collect_interval());
         if (is_complete_read && sources_.is_complete())
             core_.view_confirmed(
                 shell_.now(), sources_.members_read_at(), *this);
