Read backend servers again beside their watch

Change: a second follower reads them on demand; the watch goes on. Tests: item_follower, follower_on_demand_reads_once_per_request and two more.

--- a/packages/core/include/radishspread/core/rs_item_follower.hpp
+++ b/packages/core/include/radishspread/core/rs_item_follower.hpp
@@ -29,6 +29,8 @@
 /// Settings of an `item_follower`.
 struct item_follower_options {
     std::string prefix; ///< Prefix of the names of the followed items.
+    /// Reads only when `reread` requests it, and never watches.
+    bool is_on_demand = false;
     duration wait = std::chrono::milliseconds(2500);
     duration read_timeout = std::chrono::milliseconds(1500);
     duration peer_timeout = std::chrono::milliseconds(1500);
@@ -45,8 +47,9 @@
 
 /// Keeps a view of items up to date: one complete read, then consecutive
 /// watches; starts over with a complete read if the service no longer has the
-/// history since the last watch. Decides which call is next; the driver makes
-/// the call.
+/// history since the last watch. One that is on demand confirms the view beside
+/// another follower, whose watch goes on meanwhile. Decides which call is next;
+/// the driver makes the call.
 class item_follower {
 public:
     explicit item_follower(item_follower_options options);
--- a/packages/core/src/rs_item_follower.cpp
+++ b/packages/core/src/rs_item_follower.cpp
@@ -6,7 +6,10 @@
 namespace radishspread {
 
 item_follower::item_follower(item_follower_options options)
-    : options_(std::move(options)), random_(options_.seed) {}
+    : options_(std::move(options)), random_(options_.seed) {
+    if (options_.is_on_demand)
+        due_ = instant::max();
+}
 
 std::optional<item_call> item_follower::take_call(instant now) {
     if (is_outstanding_ || now < due_)
@@ -90,10 +93,13 @@
     }
     view.finish_read(now, options_.prefix, names_, read_from_);
     is_complete_ = true;
-    is_watching_ = !std::exchange(is_read_requested_, false);
+    bool const reads_again = std::exchange(is_read_requested_, false);
+    is_watching_ = !reads_again && !options_.is_on_demand;
     after_ = std::max(after_, read_from_);
     complete_read_started_at_ = read_started_;
     begin_read(now);
+    if (options_.is_on_demand && !reads_again)
+        due_ = instant::max();
     return true;
 }
 
--- a/packages/core/tests/rs_item_follower_test.cpp
+++ b/packages/core/tests/rs_item_follower_test.cpp
@@ -181,3 +181,47 @@
     CHECK(calls <= 10'000 / 500 + 1);
     CHECK(slow.as_of() + 5 >= changed);
 }
+
+// A search that is rejected by all agents needs another read. When it replaced
+// the watch, each such read cost two calls.
+TEST(item_follower, follower_on_demand_reads_once_per_request) {
+    item_follower reader{item_follower_options{
+        .prefix = "backend/", .is_on_demand = true, .peers = {peer_one}}};
+    CHECK(!reader.take_call(at(0)).has_value());
+    CHECK(!reader.reread(at(10)));
+    CHECK(!reader.take_call(at(10))->is_watch);
+    reader.handle_page(at(14), page({announcement_of(1, 4)}, 10), view);
+    CHECK(reader.read_started() == at(10));
+    CHECK(!reader.take_call(at(5000)).has_value());
+    CHECK(!reader.reread(at(5000)));
+    CHECK(reader.take_call(at(5000)).has_value());
+    reader.handle_page(at(5004), page({announcement_of(1, 4)}, 12), view);
+    CHECK(reader.read_started() == at(5000));
+}
+
+TEST(item_follower, follower_on_demand_reads_again_if_requested_meanwhile) {
+    item_follower reader{
+        item_follower_options{.prefix = "backend/", .is_on_demand = true}};
+    reader.reread(at(0));
+    CHECK(reader.take_call(at(0)).has_value());
+    reader.reread(at(2));
+    reader.handle_page(at(4), page({}, 10), view);
+    CHECK(reader.take_call(at(4)).has_value());
+    reader.handle_page(at(8), page({}, 10), view);
+    CHECK(reader.read_started() == at(4));
+    CHECK(!reader.take_call(at(8)).has_value());
+}
+
+// A flow that nobody holds is reset only after a read, so that a read that
+// failed has to be repeated.
+TEST(item_follower, failed_read_on_demand_is_repeated) {
+    item_follower reader{
+        item_follower_options{.prefix = "backend/", .is_on_demand = true}};
+    reader.reread(at(0));
+    CHECK(reader.take_call(at(0)).has_value());
+    reader.handle_failure(at(3), true, view);
+    CHECK(reader.take_call(at(1000)).has_value());
+    reader.handle_page(at(1004), page({}, 10), view);
+    CHECK(reader.read_started() == at(1000));
+    CHECK(!reader.take_call(at(9000)).has_value());
+}
--- a/packages/runtime/include/radishspread/runtime/rs_view_sources.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_view_sources.hpp
@@ -13,7 +13,8 @@
 namespace radishspread::runtime {
 
 /// Keeps a view of all items that a role needs up to date, with one
-/// `item_source` for each prefix of item names.
+/// `item_source` for each prefix of item names, and one that reads the backend
+/// servers again on demand.
 template <packet_platform Platform> class view_sources {
 public:
     /// Changes of backend servers, which have the last prefix, are collected
@@ -31,14 +32,10 @@
             options.prefix = prefixes_[n];
             if (n + 1 == prefixes_.size())
                 options.collect_interval = member_collect_interval;
-            ++options.seed;
-            sources_.push_back(std::make_unique<source>(options, peer_path(n),
-                view, client_, settings.configuration_service, on_page,
-                [this](packet_log const& it) { shell_.log(it); }));
-            sources_.back()->clock = [this] {
-                return shell_.update_clock();
-            };
+            sources_.push_back(make_source(options, n, on_page));
         }
+        options.is_on_demand = true;
+        members_reader_ = make_source(options, prefixes_.size() - 1, on_page);
     }
 
     /// Serves the items in the view to peers over HTTP.
@@ -58,6 +55,7 @@
     void start_due_calls(instant now) {
         for (auto const& it : sources_)
             it->start_due_call(now);
+        members_reader_->start_due_call(now);
     }
 
     void restart(instant now) {
@@ -74,11 +72,13 @@
 
     /// Start of the last complete read of the backend servers.
     [[nodiscard]] instant members_read_at() const {
-        return sources_.back()->follower().read_started();
+        return std::max(sources_.back()->follower().read_started(),
+            members_reader_->follower().read_started());
     }
 
-    /// Reads the backend servers again.
-    void reread_members(instant now) { sources_.back()->reread(now); }
+    /// Reads the backend servers again. Their watch goes on meanwhile; ending
+    /// it would cost another call.
+    void reread_members(instant now) { members_reader_->reread(now); }
 
     /// Collects changes of backend servers for this long.
     void set_member_collect_interval(duration value) {
@@ -96,12 +96,27 @@
         for (auto const& it : sources_)
             if (!it->is_outstanding())
                 due = std::min(due, it->due());
+        if (!members_reader_->is_outstanding())
+            due = std::min(due, members_reader_->due());
         return due;
     }
 
 private:
     using source = item_source<Platform>;
 
+    [[nodiscard]] std::unique_ptr<source> make_source(
+        item_follower_options& options, std::size_t n,
+        page_callback const& on_page) {
+        ++options.seed;
+        auto out = std::make_unique<source>(options, peer_path(n), view_,
+            client_, shell_.settings().configuration_service, on_page,
+            [this](packet_log const& it) { shell_.log(it); });
+        out->clock = [this] {
+            return shell_.update_clock();
+        };
+        return out;
+    }
+
     static std::string peer_path(std::size_t n) {
         return "/v1/items/" + std::to_string(n);
     }
@@ -126,6 +141,7 @@
     std::vector<std::string> prefixes_;
     configuration_client client_;
     std::vector<std::unique_ptr<source>> sources_;
+    std::unique_ptr<source> members_reader_;
 };
 
 } // namespace radishspread::runtime
