Check which agents are sent packets in the test of local agents first

Cause: the linter found two products of narrow integers, and the last check of packets_go_to_local_uncertain_agents_first accepted any list request. Change: the test counts the packets to the remote agent only; the products are of std::size_t.

--- a/packages/core/tests/rs_packet_search_test.cpp
+++ b/packages/core/tests/rs_packet_search_test.cpp
@@ -151,7 +151,7 @@
     flow_is_not_reset_by_a_read_while_queries_are_delayed) {
     packet_balancer small{packet_balancer_options{.domain = test_domain,
         .agent_port = agent_port,
-        .search_bytes_per_second = 4 * 3 * message_overhead}};
+        .search_bytes_per_second = message_overhead * 4 * 3}};
     small.start(at(0), sink);
     small.view().apply(at(0), routes_of(5, 1));
     for (std::uint32_t n = 1; n <= 3; ++n)
@@ -346,10 +346,13 @@
     CHECK_EQUAL(0, sink.count(agent_packet_kind::locate));
     list(1, 1, 112, {}, true);
     CHECK_EQUAL(flows, sink.count(agent_packet_kind::locate));
+    sink.clear();
     core.tick(at(220), sink);
-    CHECK_EQUAL(2 * flows, sink.count(agent_packet_kind::locate));
-    CHECK(sink.sent.back().to == agent_address(remote) ||
-          sink.sent.back().message.kind == agent_packet_kind::list);
+    CHECK_EQUAL(flows, sink.count(agent_packet_kind::locate));
+    CHECK(std::all_of(sink.sent.begin(), sink.sent.end(), [](auto const& it) {
+        return it.message.kind != agent_packet_kind::locate ||
+               it.to == agent_address(remote);
+    }));
 }
 
 // Another list of an agent that has just been uncertain delays the packet that
