Test searches at agents known to be uncertain

Cause: two decisions of the search had no test that failed without them: the packet at once to an agent known to be uncertain when few flows are searched for, and the longer first stage after it. Change: packet_balancer_search, agent_known_to_be_uncertain_is_sent_the_packet_at_once.

--- a/packages/core/tests/rs_packet_search_test.cpp
+++ b/packages/core/tests/rs_packet_search_test.cpp
@@ -101,6 +101,28 @@
     CHECK_EQUAL(packet_bytes.size(), sink.sent[0].packet.size());
 }
 
+// A query without the packet would only make the agent say again that it is
+// uncertain. Its backend server needs longer to respond than a query, so the
+// agents of the other failure domains are queried later.
+TEST(packet_balancer_search,
+    agent_known_to_be_uncertain_is_sent_the_packet_at_once) {
+    core.handle_caller(at(0), caller_packet_of(flow_of(1), 7), sink);
+    core.tick(at(30), sink);
+    reply_not_held(1, flow_of(1), 31, true);
+    sink.clear();
+    core.handle_caller(at(100), caller_packet_of(flow_of(2), 7), sink);
+    for (auto const& it : sink.sent)
+        CHECK(it.packet.empty() == (it.to != agent_address(1)));
+    CHECK_EQUAL(3, sink.sent.size());
+    sink.clear();
+    core.tick(at(115), sink);
+    CHECK(sink.sent.empty());
+    core.tick(at(145), sink);
+    CHECK(std::any_of(sink.sent.begin(), sink.sent.end(), [](auto const& it) {
+        return it.message.flow == flow_of(2) && it.message.must_reply;
+    }));
+}
+
 // After a power loss every flow is searched for while callers retransmit. On a
 // slow link, the unlimited searches delayed each other for 15 seconds.
 TEST(packet_balancer_search, unsuccessful_searches_back_off_and_are_limited) {
