--- a/review/standins/backend.hpp
+++ b/review/standins/backend.hpp
@@ -35,9 +35,9 @@
     backend& operator=(backend const&) = delete;
 
     [[nodiscard]] backend_options const& options() const { return options_; }
+    [[nodiscard]] std::uint64_t born() const { return born_; }
     /// True if the flow has been opened here and has not been closed.
     [[nodiscard]] bool holds(flow_key const& flow) const;
-    /// True if the backend server itself has reset the flow.
     [[nodiscard]] unsigned runs() const { return runs_; }
     /// Packets whose sum does not match, and packets of backend servers.
     [[nodiscard]] unsigned foreign_packets() const { return foreign_; }
