--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,5 +1,5 @@
 // An entry of another writer in the store whose value is deeply nested.
-#include "../standins/fleet.hpp"
+#include "../1/standins/fleet.hpp"
 
 #include <algorithm>
 
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,5 +1,5 @@
 // A change of a route's weights while clients have flows open.
-#include "../standins/fleet.hpp"
+#include "../1/standins/fleet.hpp"
 
 using namespace review;
 
