Limit the depth and size of JSON from outside the process

Cause: the JSON parser descends by recursion and nothing limited the depth, so 300,000 open brackets used up the stack. Ruled out: network and view (parse_page alone ends the test program in the same way), long values (without nesting nothing happens). The same unlimited parse stood in the reply of the store as a whole, in replies of peers and in the watch of the document component.

Change: parse_bounded_json parses all JSON from outside the process and stops at a limit of depth, before the parser descends, and at a limit of values, since each takes 16 bytes of memory. An unreadable item is skipped, counted by its event and logged once for each revision, with its name; it was logged as a number only, again with each read.

--- a/packages/core/include/radishspread/core/rs_fleet_change.hpp
+++ b/packages/core/include/radishspread/core/rs_fleet_change.hpp
@@ -64,6 +64,7 @@
     radishspread::revision revision = 0;
     std::variant<no_content, route_set, backend_announcement, domain_taken_out>
         content;
+    bool is_unreadable = false; ///< The item exists, its content is unusable.
 };
 
 } // namespace radishspread
--- a/packages/core/include/radishspread/core/rs_fleet_view.hpp
+++ b/packages/core/include/radishspread/core/rs_fleet_view.hpp
@@ -33,6 +33,9 @@
         instant removal_effective_at; ///< May be in the future.
     };
 
+    /// True if the view has no revision of the item or an older one.
+    [[nodiscard]] bool is_newer(fleet_change const& change) const;
+
     /// Merges one item; false if the view has the same or a newer revision.
     bool apply(instant now, fleet_change const& change);
 
--- a/packages/core/include/radishspread/core/rs_item_page.hpp
+++ b/packages/core/include/radishspread/core/rs_item_page.hpp
@@ -11,9 +11,9 @@
 /// Decoded reply to one read or watch of the configuration.
 struct item_page {
     std::vector<fleet_change> changes;
-    revision as_of = 0;         ///< Revision up to which the reply is complete.
-    bool has_more = false;      ///< Read: more items follow the last one.
-    std::size_t unreadable = 0; ///< Number of items with unusable content.
+    revision as_of = 0;      ///< Revision up to which the reply is complete.
+    bool has_more = false;   ///< Read: more items follow the last one.
+    std::size_t unnamed = 0; ///< Items left out: no name or no revision.
 };
 
 } // namespace radishspread
--- a/packages/core/include/radishspread/core/rs_packet_events.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_events.hpp
@@ -121,7 +121,7 @@
         {packet_event::domain_changed, severity::warning,
             "failure domain changed; value: 1 out, 0 in"},
         {packet_event::item_ignored, severity::warning,
-            "configuration item ignored: unreadable"},
+            "configuration items ignored: unreadable; value: items"},
         {packet_event::source_unreachable, severity::warning,
             "configuration service unreachable; value: failures"},
         {packet_event::source_recovered, severity::info,
--- a/packages/core/src/rs_fleet_view.cpp
+++ b/packages/core/src/rs_fleet_view.cpp
@@ -4,10 +4,15 @@
 
 namespace radishspread {
 
+bool fleet_view::is_newer(fleet_change const& change) const {
+    auto const it = revisions_.find(change.name);
+    return it == revisions_.end() || change.revision > it->second.number;
+}
+
 bool fleet_view::apply(instant now, fleet_change const& change) {
-    auto& held = revisions_[change.name];
-    if (change.revision <= held.number)
+    if (!is_newer(change))
         return false;
+    auto& held = revisions_[change.name];
     held = {.number = change.revision};
     auto const* routes = std::get_if<route_set>(&change.content);
     auto const* backend = std::get_if<backend_announcement>(&change.content);
--- a/packages/runtime/include/radishspread/runtime/rs_item_source.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_item_source.hpp
@@ -109,15 +109,26 @@
             log_({.number = packet_event::source_recovered,
                 .value = (now - follower_.last_reply_at()) /
                          std::chrono::milliseconds(1)});
-        if (page.unreadable > 0)
-            log_({.number = packet_event::item_ignored,
-                .value = static_cast<std::int64_t>(page.unreadable)});
+        log_ignored_items(page);
         auto const previous_read_at = follower_.read_started();
         follower_.handle_page(now, page, view_);
         on_page_(page,
             follower_.read_started() != previous_read_at || is_peer_call_);
     }
 
+    /// Logs each revision of an unreadable item once: later reads return it
+    /// again, but the view has it then.
+    void log_ignored_items(item_page const& page) const {
+        for (auto const& it : page.changes)
+            if (it.is_unreadable && view_.is_newer(it))
+                log_({.number = packet_event::item_ignored,
+                    .value = 1,
+                    .text = it.name});
+        if (page.unnamed > 0)
+            log_({.number = packet_event::item_ignored,
+                .value = static_cast<std::int64_t>(page.unnamed)});
+    }
+
     item_follower follower_;
     std::string peer_path_;
     bool is_peer_call_ = false; ///< The outstanding call goes to a peer.
--- a/packages/runtime/include/radishspread/runtime/rs_packet_process.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_process.hpp
@@ -70,9 +70,11 @@
         return true;
     }
 
+    /// Logs the changes, except for unreadable items, which `item_source` logs.
     void log_changes(item_page const& page) {
         for (auto const& it : page.changes)
-            shell_.log(describe(it));
+            if (!it.is_unreadable)
+                shell_.log(describe(it));
     }
 
     /// Schedules a tick at `due`; `instant::max()` cancels a scheduled one.
--- a/packages/runtime/src/rs_section_reader.cpp
+++ b/packages/runtime/src/rs_section_reader.cpp
@@ -3,8 +3,7 @@
 #include <radishspread/runtime/rs_runtime_events.hpp>
 #include <radishspread/runtime/rs_section_reader.hpp>
 #include <radishspread/runtime/rs_section_tag.hpp>
-
-#include <nlohmann/json.hpp>
+#include <radishspread/wire/rs_bounded_json.hpp>
 
 namespace radishspread::runtime {
 
@@ -30,20 +29,31 @@
                          : "status " + std::to_string(response.status);
 }
 
-/// Names and revisions of a JSON list, or `nullopt` if the list is malformed.
-std::optional<std::vector<std::pair<std::string, revision>>> parse_list(
-    nlohmann::json const& list) {
-    if (!list.is_array())
+/// Member of a JSON object, or null.
+rapidjson::Value const* find_member(
+    rapidjson::Value const& from, char const* name) {
+    if (!from.IsObject())
+        return nullptr;
+    auto const it = from.FindMember(name);
+    return it == from.MemberEnd() ? nullptr : &it->value;
+}
+
+/// Names and revisions of a JSON list, or `nullopt` if the list is missing or
+/// malformed. The names refer to `list`.
+std::optional<std::vector<digest_entry>> parse_list(
+    rapidjson::Value const* list) {
+    if (list == nullptr || !list->IsArray())
         return std::nullopt;
-    std::vector<std::pair<std::string, revision>> out;
-    for (auto const& entry : list) {
-        bool const is_valid = entry.is_object() && entry.contains("name") &&
-                              entry["name"].is_string() &&
-                              entry.contains("revision") &&
-                              entry["revision"].is_number_unsigned();
-        if (!is_valid)
+    std::vector<digest_entry> out;
+    out.reserve(list->Size());
+    for (auto const& entry : list->GetArray()) {
+        auto const* name = find_member(entry, "name");
+        auto const* held = find_member(entry, "revision");
+        if (name == nullptr || !name->IsString() || held == nullptr ||
+            !held->IsUint64())
             return std::nullopt;
-        out.emplace_back(entry["name"], entry["revision"]);
+        out.push_back({.name = {name->GetString(), name->GetStringLength()},
+            .held = held->GetUint64()});
     }
     return out;
 }
@@ -143,12 +153,13 @@
 
 void section_reader::emit_watch_event(
     endpoint peer, std::string_view body, char const* list_key) {
-    auto const root = nlohmann::json::parse(body, nullptr, false);
-    bool const has_index = root.is_object() && root.contains("index") &&
-                           root["index"].is_number_unsigned();
-    auto const list = root.is_object() && root.contains(list_key)
-                          ? parse_list(root[list_key])
-                          : std::nullopt;
+    std::string text(body);
+    rapidjson::Document root;
+    if (!wire::parse_bounded_json(root, text))
+        root.SetNull();
+    auto const* index = find_member(root, "index");
+    bool const has_index = index != nullptr && index->IsUint64();
+    auto const list = parse_list(find_member(root, list_key));
     if (!list || (!peer.is_set() && !has_index)) {
         section_response failed;
         failed.code = std::make_error_code(std::errc::bad_message);
@@ -157,13 +168,9 @@
         listener_.handle(watch_failed_event{.peer = peer});
         return;
     }
-    std::vector<digest_entry> changes;
-    changes.reserve(list->size());
-    for (auto const& [name, held] : *list)
-        changes.push_back({.name = name, .held = held});
-    watch_event event{.index = 0, .changes = changes, .peer = peer};
+    watch_event event{.index = 0, .changes = *list, .peer = peer};
     if (!peer.is_set())
-        event.index = root["index"];
+        event.index = index->GetUint64();
     listener_.handle(event);
 }
 
--- a/packages/runtime/tests/rs_item_source_test.cpp
+++ b/packages/runtime/tests/rs_item_source_test.cpp
@@ -17,8 +17,8 @@
 
 namespace {
 
-/// Platform whose configuration service has no items.
-struct empty_platform {
+/// Platform whose configuration service has one item, which is unreadable.
+struct unreadable_item_platform {
     static std::optional<flow_packet> decode(std::span<std::byte const>) {
         return std::nullopt;
     }
@@ -31,7 +31,11 @@
         return call.is_watch ? "/watch" : "/read";
     }
     static std::optional<item_page> parse_page(std::string&) {
-        return item_page{.as_of = 1};
+        return item_page{.changes = {{.name = "backend/note",
+                             .revision = 1,
+                             .content = no_content{},
+                             .is_unreadable = true}},
+            .as_of = 1};
     }
     static std::vector<std::string> prefixes() { return {"backend/"}; }
     static char const* readiness_path() { return "/ready"; }
@@ -94,9 +98,12 @@
     silent_watch_service service;
     fleet_view view;
     configuration_client client{{.service = service.address()}};
-    item_source<empty_platform> source{{.prefix = "backend/"}, "/peer", view,
-        client, service.address(), [](item_page const&, bool) {},
-        [](packet_log const&) {
+    std::vector<std::string> ignored; ///< Names in the events.
+    item_source<unreadable_item_platform> source{{.prefix = "backend/"},
+        "/peer", view, client, service.address(), [](item_page const&, bool) {},
+        [this](packet_log const& it) {
+            if (it.number == packet_event::item_ignored)
+                ignored.emplace_back(it.text);
         }};
 
     void setup() override {
@@ -134,3 +141,13 @@
         CHECK_EQUAL(n + 1, service.reads());
     }
 }
+
+// Each complete read returns the items of other writers again; a line for each
+// would fill the log, and without the name operators cannot find the writer.
+TEST(item_source, unreadable_item_is_logged_once_with_its_name) {
+    CHECK(run_until_watches(1));
+    source.reread(monotonic_now());
+    CHECK(run_until_watches(2));
+    CHECK_EQUAL(1, ignored.size());
+    CHECK_EQUAL(std::string("backend/note"), ignored[0]);
+}
--- a/packages/wire/src/rs_item_codec.cpp
+++ b/packages/wire/src/rs_item_codec.cpp
@@ -1,6 +1,7 @@
 #include <radishspread/wire/rs_item_codec.hpp>
 
-#include <rapidjson/document.h>
+#include <radishspread/wire/rs_bounded_json.hpp>
+
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
@@ -208,8 +209,7 @@
 
 std::optional<item_page> decode_items(std::string& text) {
     rapidjson::Document parsed;
-    parsed.ParseInsitu(text.data());
-    if (parsed.HasParseError())
+    if (!parse_bounded_json(parsed, text))
         return std::nullopt;
     object_reader reader(parsed);
     item_page page{.as_of = reader.number("as_of")};
--- /dev/null
+++ b/packages/wire/tests/rs_bounded_json_test.cpp
@@ -0,0 +1,77 @@
+#include <radishspread/wire/rs_bounded_json.hpp>
+#include <radishspread/wire/rs_item_codec.hpp>
+
+#include <string>
+#include <string_view>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace radishspread;
+using namespace radishspread::wire;
+
+namespace {
+
+std::string repeat(std::string_view text, std::size_t n) {
+    std::string out;
+    out.reserve(text.size() * n);
+    for (std::size_t i = 0; i != n; ++i)
+        out += text;
+    return out;
+}
+
+/// `n` arrays, one in the other.
+std::string nested_arrays(std::size_t n) {
+    return repeat("[", n) + repeat("]", n);
+}
+
+} // namespace
+
+TEST_GROUP(bounded_json) {
+    rapidjson::Document parsed;
+
+    bool parse(std::string text, json_limits const& limits = {}) {
+        text_ = std::move(text);
+        return parse_bounded_json(parsed, text_, limits);
+    }
+
+    std::string text_;
+};
+
+TEST(bounded_json, text_within_the_limits_is_parsed) {
+    CHECK(parse(R"({"a":[1,-2,3.5,true,null],"b":{"c":"d"}})"));
+    CHECK_EQUAL(2, parsed.MemberCount());
+    CHECK_EQUAL(5, parsed.FindMember("a")->value.Size());
+    CHECK(parse(nested_arrays(json_limits{}.depth)));
+}
+
+// The parser uses stack for each open array or object. Without a limit, one
+// entry of another writer ended every process with a stack overflow.
+TEST(bounded_json, deep_nesting_is_rejected_without_a_stack_overflow) {
+    constexpr std::size_t depth = 500'000;
+    for (std::string_view const opening : {"[", "{\"a\":", "[{\"a\":"})
+        CHECK(!parse(repeat(opening, depth)));
+    CHECK(!parse(nested_arrays(depth)));
+    CHECK(!parse(nested_arrays(json_limits{}.depth + 1)));
+}
+
+// Each value takes eight times the two bytes that it has in the text, which
+// would exceed the memory of a small host.
+TEST(bounded_json, number_of_values_is_limited) {
+    constexpr json_limits limits{.values = 5};
+    CHECK(parse("[1,2,3,4]", limits));
+    CHECK(!parse("[1,2,3,4,5]", limits));
+    CHECK(parse(R"({"a":1,"b":2})", limits));
+    CHECK(!parse(R"({"a":1,"b":2,"c":3})", limits));
+}
+
+TEST(bounded_json, malformed_text_is_rejected) {
+    for (auto const* text : {"", "[", "[1,]", "{]", "[1]x", "\x80\xff"})
+        CHECK(!parse(text));
+    CHECK(!parse(std::string("\0[1]", 4)));
+}
+
+// A peer is another process, whose reply may be damaged.
+TEST(bounded_json, deeply_nested_reply_of_a_peer_is_rejected) {
+    auto text = R"({"as_of":3,"items":)" + repeat("[", 500'000);
+    CHECK(!decode_items(text));
+}
