Limit the numbers of items to ranges, in one place

Replies of peers were limited, but accepted 0 and 65,536 slots, which became 0.

Ports out of range and numbers beyond a double were rejected before too; their tests are guards.

--- a/packages/wire/src/rs_item_codec.cpp
+++ b/packages/wire/src/rs_item_codec.cpp
@@ -1,11 +1,13 @@
 #include <radishspread/wire/rs_item_codec.hpp>
 
+#include <radishspread/core/rs_item_limits.hpp>
 #include <radishspread/wire/rs_bounded_json.hpp>
 
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
-#include <algorithm>
+#include <cstdint>
+#include <limits>
 
 namespace radishspread::wire {
 
@@ -82,9 +84,11 @@
         is_valid_ = from.IsObject();
     }
 
-    std::uint64_t number(char const* key) {
+    std::uint64_t number(char const* key, std::uint64_t min = 0,
+        std::uint64_t max = std::numeric_limits<std::uint64_t>::max()) {
         auto const* it = find(key);
-        is_valid_ = is_valid_ && it != nullptr && it->IsUint64();
+        is_valid_ = is_valid_ && it != nullptr && it->IsUint64() &&
+                    it->GetUint64() >= min && it->GetUint64() <= max;
         return is_valid_ ? it->GetUint64() : 0;
     }
     double floating_point(char const* key) {
@@ -138,10 +142,7 @@
 };
 
 duration read_ms(object_reader& from, char const* key) {
-    // Clamped to one hour: longer times are not meaningful here, and the
-    // conversion could overflow.
-    constexpr std::uint64_t max_ms = 3'600'000;
-    return std::chrono::milliseconds(std::min(from.number(key), max_ms));
+    return item_duration(static_cast<double>(from.number(key)));
 }
 
 route_set read_routes(object_reader& from) {
@@ -153,10 +154,11 @@
             .priority = static_cast<std::uint8_t>(it.number("priority"))});
     });
     from.each("warmups", [&](object_reader& it) {
-        out.warmups.push_back({.service = static_cast<std::uint32_t>(
-                                   it.number("service")),
-            .period = read_ms(it, "period_ms"),
-            .openings_per_second = it.floating_point("openings_per_second")});
+        out.warmups.push_back(
+            {.service = static_cast<std::uint32_t>(it.number("service")),
+                .period = read_ms(it, "period_ms"),
+                .openings_per_second = item_openings_per_second(
+                    it.floating_point("openings_per_second"))});
     });
     return out;
 }
@@ -165,7 +167,7 @@
     return {.service = static_cast<std::uint32_t>(from.number("service")),
         .domain = static_cast<std::uint32_t>(from.number("domain")),
         .backend = from.address("backend"),
-        .slots = static_cast<std::uint16_t>(from.number("slots")),
+        .slots = static_cast<std::uint16_t>(from.number("slots", 1, max_slots)),
         .is_draining = from.boolean("is_draining"),
         .warmup_left = read_ms(from, "warmup_left_ms"),
         .start_unix_ms = from.number("born")};
--- a/packages/wire/tests/rs_bounded_json_test.cpp
+++ b/packages/wire/tests/rs_bounded_json_test.cpp
@@ -64,6 +64,13 @@
     CHECK(!parse(R"({"a":1,"b":2,"c":3})", limits));
 }
 
+TEST(bounded_json, number_too_large_is_rejected) {
+    CHECK(!parse("[1e400]"));
+    CHECK(!parse("[" + std::string(300'000, '9') + "]"));
+    CHECK(parse("[18446744073709551616]"));
+    CHECK(!parsed[0].IsUint64());
+}
+
 TEST(bounded_json, malformed_text_is_rejected) {
     for (auto const* text : {"", "[", "[1,]", "{]", "[1]x", "\x80\xff"})
         CHECK(!parse(text));
@@ -75,3 +82,25 @@
     auto text = R"({"as_of":3,"items":)" + repeat("[", 500'000);
     CHECK(!decode_items(text));
 }
+
+// A backend server without slots would be divided by; a time that does not fit
+// the clock would overflow it.
+TEST(bounded_json, items_of_a_peer_are_limited_to_valid_ranges) {
+    auto const page_with = [](std::string const& slots,
+                               std::string const& warmup) {
+        return R"({"as_of":3,"items":[{"name":"a","revision":2,)"
+               R"("backend":"10.0.0.1:80","service":1,"domain":1,"slots":)" +
+               slots + R"(,"is_draining":false,"warmup_left_ms":)" + warmup +
+               R"(,"born":1}]})";
+    };
+    for (auto const* slots : {"0", "65536"}) {
+        auto text = page_with(slots, "0");
+        CHECK(!decode_items(text));
+    }
+    auto text = page_with("65535", "18446744073709551615");
+    auto const page = decode_items(text);
+    CHECK(page.has_value());
+    auto const it = std::get<backend_announcement>(page->changes.at(0).content);
+    CHECK_EQUAL(65535, it.slots);
+    CHECK(it.warmup_left == std::chrono::hours(1));
+}
