Keep open flows where they are when their route's service changes

Cause: packets and searches of open flows carried the service that the route names now. The holder's agent rejects a message for another service before it looks at its flows, and the search then asked the agents of the new service only, whose rejections counted as those of the whole fleet. Ruled out by the events of one flow: loss, a lost entry (the agent logs nothing), a late read (event 1606 comes after it), the cache (a balancer without one does the same).

Change: a balancer remembers the service of a flow's holder, as its agent reports it. A search that the flow's own service ends without a holder goes on at the agents of the other services, each of which is asked for one list of its reassigned flows, for all searches. A reply holds for the service that the agent was queried for, a list for the routes under which it was requested. A packet goes to a server of another service only if its agent has restarted, and after the flow's own service has rejected it.

--- a/packages/core/include/radishspread/core/internal/rs_flow_cache.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_flow_cache.hpp
@@ -10,24 +10,32 @@
 
 namespace radishspread::internal {
 
-/// The agent to which a balancer sends the packets of a flow.
-struct cached_flow {
+/// An agent that holds a flow.
+struct flow_holder {
     endpoint agent;
-    /// Sequence number of the opening reply that `agent` forwarded.
+    /// Service of its backend server. The flow's route may name another one by
+    /// now, which concerns new flows only.
+    std::uint32_t service = 0;
+    /// Sequence number of the opening reply that it forwarded; 0 if unknown.
     std::uint32_t handshake = 0;
+};
+
+/// The agent to which a balancer sends the packets of a flow.
+struct cached_flow {
+    flow_holder holder;
     /// Second agent whose opening reply the caller got, until the caller
     /// acknowledges one of the two.
-    endpoint second_agent;
-    std::uint32_t second_handshake = 0;
+    flow_holder second_holder;
     /// Route version at the last check that the flow's route exists.
     std::uint64_t checked_route_version = 0;
     instant last_packet_at;
 
     /// Selects the agent whose opening reply the caller acknowledges.
     void select_acknowledged(std::uint32_t acknowledged) {
-        if (second_agent.is_set() && acknowledged == second_handshake + 1)
-            agent = second_agent;
-        second_agent = {};
+        if (second_holder.agent.is_set() &&
+            acknowledged == second_holder.handshake + 1)
+            holder = second_holder;
+        second_holder = {};
     }
 };
 
--- a/packages/core/include/radishspread/core/internal/rs_flow_search.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_flow_search.hpp
@@ -1,6 +1,7 @@
 #ifndef RADISHSPREAD_CORE_INTERNAL_RS_FLOW_SEARCH_HPP
 #define RADISHSPREAD_CORE_INTERNAL_RS_FLOW_SEARCH_HPP
 
+#include <radishspread/core/internal/rs_agent_of_service.hpp>
 #include <radishspread/core/rs_endpoint.hpp>
 #include <radishspread/core/rs_flow_packet.hpp>
 #include <radishspread/core/rs_time.hpp>
@@ -24,8 +25,12 @@
 /// `not_held`, including those that a later read of the configuration adds. A
 /// `not_held` reply is final: the flow was open before the query, and an open
 /// flow never moves.
+///
+/// The agents of the service that the flow's route names are queried first.
+/// Those of the other services follow, since the route may have named another
+/// service when the flow was opened.
 struct flow_search {
-    std::uint32_t service = 0;
+    std::uint32_t service = 0; ///< That the flow's route names.
     search_stage stage = search_stage::local;
     instant started_at;
     instant last_caller_packet_at;
@@ -34,13 +39,19 @@
     /// First request for lists that covers the search; 0: none.
     std::uint32_t first_list_number = 0;
     instant queried_all_at; ///< First query to all agents; default: not yet.
-    /// Time at which all known agents had first rejected it; default: not yet.
+    /// Time at which all known agents of the service had first rejected it;
+    /// default: not yet.
     instant rejected_at;
-    bool awaits_read = false;  ///< Rejected by all; a read must confirm it.
+    bool queries_other_services = false;
+    /// First request for lists of reassigned flows that covers the search; 0:
+    /// none.
+    std::uint32_t first_reassigned_list = 0;
+    instant reassigned_listed_at; ///< Time of that request.
+    bool awaits_read = false;     ///< Rejected by all; a read must confirm it.
     bool is_confirmed = false; ///< A read begun after `started_at` has ended.
     /// Acknowledgment number of the caller's last packet.
     std::uint32_t acknowledged = 0;
-    boost::container::flat_set<endpoint> rejected_by;
+    boost::container::flat_set<agent_of_service> rejected_by;
     /// Agents that were sent the caller's last packet.
     boost::container::flat_set<endpoint> packet_sent_to;
     instant packet_sent_at; ///< To any agent.
@@ -56,20 +67,30 @@
         retained.emplace_back(packet.bytes.begin(), packet.bytes.end());
     }
 
+    /// Queries the agents of another service first from now on, which the
+    /// flow's route names by now. Earlier replies stay valid.
+    void restart_at(instant now, std::uint32_t new_service) {
+        service = new_service;
+        stage = search_stage::all;
+        next_query_at = now;
+        queried_all_at = {};
+        rejected_at = {};
+    }
+
     /// True if the reply to the list request with this number covers the flow:
     /// the request was sent after the search started.
     [[nodiscard]] bool is_covered_by_list(std::uint32_t number) const {
         return first_list_number != 0 && number >= first_list_number;
     }
 
-    [[nodiscard]] bool was_rejected_by(endpoint agent) const {
-        return rejected_by.contains(agent);
+    [[nodiscard]] bool was_rejected_by(agent_of_service const& it) const {
+        return rejected_by.contains(it);
     }
 
     /// True if the agent has neither rejected the flow nor been sent a packet,
     /// to which it replies.
-    [[nodiscard]] bool needs_query(endpoint agent) const {
-        return !was_rejected_by(agent) && !packet_sent_to.contains(agent);
+    [[nodiscard]] bool needs_query(agent_of_service const& it) const {
+        return !was_rejected_by(it) && !packet_sent_to.contains(it.agent);
     }
 };
 
--- a/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
@@ -41,8 +41,8 @@
     else if (message.kind == agent_packet_kind::open)
         on_open(now, from, message, *packet, sink);
     else if (message.service != options_.service)
-        send_not_held(from, message.flow,
-            message.kind == agent_packet_kind::locate, message.packet, sink);
+        send_not_held(from, message, message.kind == agent_packet_kind::locate,
+            message.packet, sink);
     else
         on_packet(now, from, message, *packet, sink);
 }
@@ -83,7 +83,7 @@
                         .why = refusal::not_held,
                         .is_locate_reply = true,
                         .is_uncertain = !is_rejected,
-                        .service = options_.service,
+                        .service = message.service,
                         .route_version = newest_routes_,
                         .flow = message.flow});
 }
@@ -94,11 +94,12 @@
     bool const is_other = query.service != options_.service;
     agent_packet reply{.kind = agent_packet_kind::listed,
         .is_uncertain = !is_other && !is_table_conclusive(now),
+        .is_of_reassigned = query.is_of_reassigned,
         .service = query.service,
         .route_version = newest_routes_,
         .handshake = query.handshake};
     auto const flows =
-        is_other ? std::vector<std::uint64_t>{} : listable_flows();
+        is_other ? std::vector<std::uint64_t>{} : listable_flows(query);
     if (flows.size() > max_listed_flows) {
         reply.why = refusal::overloaded;
         return sink.send(to, reply);
@@ -117,7 +118,7 @@
 }
 
 template <packet_sink Sink>
-void packet_agent::send_not_held(endpoint to, packet_flow const& flow,
+void packet_agent::send_not_held(endpoint to, agent_packet const& query,
     bool is_locate_reply, std::span<std::byte const> bytes, Sink& sink) {
     // A searching balancer has retained the packet itself.
     if (is_locate_reply)
@@ -125,9 +126,9 @@
     sink.send(to, {.kind = agent_packet_kind::not_held,
                       .why = refusal::not_held,
                       .is_locate_reply = is_locate_reply,
-                      .service = options_.service,
+                      .service = query.service,
                       .route_version = newest_routes_,
-                      .flow = flow,
+                      .flow = query.flow,
                       .packet = bytes});
 }
 
@@ -144,7 +145,7 @@
             !it.matches(packet.is_acknowledging, packet.acknowledged);
         if (it.state == held_state::absent || is_other) {
             return send_not_held(
-                from, message.flow, is_locate, message.packet, sink);
+                from, message, is_locate, message.packet, sink);
         }
         record_caller_packet(now, it, packet);
         it.balancer = from;
@@ -157,8 +158,7 @@
         return sink.send_backend(packet.bytes);
     }
     if (is_table_complete_)
-        return send_not_held(
-            from, message.flow, is_locate, message.packet, sink);
+        return send_not_held(from, message, is_locate, message.packet, sink);
     if (flows_.size() >= options_.max_flows)
         return sink.send_backend(packet.bytes);
     // Unknown flow: opened before this process started, or at another backend
@@ -208,7 +208,8 @@
     if (was_held)
         return sink.reset_caller(flow, packet.acknowledged);
     if (was != held_state::absent)
-        send_not_held(it.balancer, flow, true, {}, sink);
+        send_not_held(it.balancer, {.service = options_.service, .flow = flow},
+            true, {}, sink);
 }
 
 template <packet_sink Sink>
--- a/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
@@ -42,6 +42,7 @@
             entry.awaits_view && !start_opening(now, it->first, entry, sink);
         it = is_over ? openings_.erase(it) : std::next(it);
     }
+    apply_routes_to_searches(now);
     confirm_rejections(now, read_started, sink);
     continue_searches(now, sink);
 }
@@ -50,6 +51,7 @@
 void packet_balancer::handle_caller(
     instant now, flow_packet const& packet, Sink& sink) {
     last_event_at_ = now;
+    apply_routes_to_searches(now);
     if (packet.is_opening_reply || packet.is_returned)
         return;
     if (packet.is_opening)
@@ -67,8 +69,9 @@
         // replied.
         it->second.last_packet_at = now;
         auto const service = view_.service_of(flow.service);
-        return sink.send(it->second.agent,
-            make_open(now, flow, service, it->second.agent, packet.bytes));
+        auto const agent = it->second.holder.agent;
+        return sink.send(
+            agent, make_open(now, flow, service, agent, packet.bytes));
     }
     auto const [entry, is_new] = openings_.try_emplace(flow);
     if (!is_new) {
@@ -202,9 +205,9 @@
             entry.last_packet_at = now;
             if (packet.is_acknowledging)
                 entry.select_acknowledged(packet.acknowledged);
-            auto const service = view_.service_of(flow.service);
-            return sink.send(entry.agent,
-                make_message(agent_packet_kind::forward, service, packet));
+            return sink.send(
+                entry.holder.agent, make_message(agent_packet_kind::forward,
+                                        entry.holder.service, packet));
         }
         flows_.erase(it);
     }
@@ -224,6 +227,7 @@
 void packet_balancer::handle(instant now, endpoint from,
     agent_packet const& message, flow_packet const* packet, Sink& sink) {
     last_event_at_ = now;
+    apply_routes_to_searches(now);
     if (message.route_version > view_.route_version()) {
         sink.log({.number = packet_event::view_outdated,
             .peer = from,
@@ -257,13 +261,16 @@
         sink.log({.number = packet_event::flow_found,
             .flow = message.flow,
             .peer = from});
-    cache_agent(now, message.flow, from, message.handshake);
+    cache_holder(now, message.flow,
+        {.agent = from,
+            .service = message.service,
+            .handshake = message.handshake});
     if (flows_.size() > options_.max_flows) {
         sink.log({.number = packet_event::table_full,
             .value = static_cast<std::int64_t>(flows_.size())});
         sweep(now);
     }
-    end_search(message.flow, from, sink);
+    end_search(message.flow, {.agent = from, .service = message.service}, sink);
 }
 
 template <packet_sink Sink>
@@ -336,6 +343,7 @@
         }
         it = is_over ? openings_.erase(it) : std::next(it);
     }
+    apply_routes_to_searches(now);
     continue_searches(now, sink);
     check_reachability(now, sink);
     if (now >= next_sweep_at_) {
--- a/packages/core/include/radishspread/core/internal/rs_packet_list_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_list_impl.hpp
@@ -52,9 +52,11 @@
 void packet_balancer::probe_for_all_searches(
     instant now, std::uint32_t service, endpoint agent, Sink& sink) {
     for (auto& [flow, search] : searches_)
-        if (search.service == service && search.needs_query(agent) &&
+        if (search.service == service &&
+            search.needs_query({.agent = agent, .service = service}) &&
             may_probe(now, agent, search))
-            send_probe_packet(now, agent, flow, search, sink);
+            send_probe_packet(
+                now, {.agent = agent, .service = service}, flow, search, sink);
 }
 
 template <packet_sink Sink>
@@ -62,6 +64,10 @@
     instant now, endpoint from, agent_packet const& message, Sink& sink) {
     loads_.reply_received(now, from);
     loads_.certainty_reported(now, from, message.is_uncertain);
+    if (message.is_of_reassigned)
+        return on_reassigned_listed(now, from, message, sink);
+    internal::agent_of_service const sender{
+        .agent = from, .service = message.service};
     auto const listed = decode_flow_list(message.packet);
     bool const is_too_long = message.why == refusal::overloaded;
     for (auto entry = searches_.begin(); entry != searches_.end();) {
@@ -69,16 +75,16 @@
         bool is_over = false;
         if (search.service != message.service ||
             !search.is_covered_by_list(message.handshake) ||
-            search.was_rejected_by(from)) {
+            search.was_rejected_by(sender)) {
             // The list does not cover this search.
         } else if (is_too_long || std::binary_search(listed.begin(),
                                       listed.end(), hash_value(flow))) {
-            query_agent(now, from, flow, search, sink);
+            query_agent(now, sender, flow, search, sink);
         } else if (message.is_uncertain) {
             if (may_probe(now, from, search))
-                send_probe_packet(now, from, flow, search, sink);
+                send_probe_packet(now, sender, flow, search, sink);
         } else {
-            search.rejected_by.insert(from);
+            search.rejected_by.insert(sender);
             is_over = reset_if_not_found(now, flow, search, sink);
         }
         entry = is_over ? searches_.erase(entry) : std::next(entry);
--- a/packages/core/include/radishspread/core/internal/rs_packet_search_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_search_impl.hpp
@@ -16,11 +16,11 @@
     auto const [found, is_new] = searches_.try_emplace(flow);
     auto& search = found->second;
     search.retain(packet);
-    search.service = service;
     search.last_caller_packet_at = now;
     search.packet_sent_to.clear();
     if (!is_new)
         return;
+    search.service = service;
     search.started_at = now;
     if (searches_.size() < options_.min_searches_for_lists)
         return query_agents(now, flow, search, sink);
@@ -67,14 +67,15 @@
 }
 
 template <packet_sink Sink>
-void packet_balancer::query_agent(instant now, endpoint agent,
-    packet_flow const& flow, internal::flow_search const& search, Sink& sink) {
+void packet_balancer::query_agent(instant now,
+    internal::agent_of_service const& to, packet_flow const& flow,
+    internal::flow_search const& search, Sink& sink) {
     if (!search_budget_.has_left(now))
         return;
-    send_search_message(now, agent,
+    send_search_message(now, to.agent,
         {.kind = agent_packet_kind::locate,
             .must_reply = true,
-            .service = search.service,
+            .service = to.service,
             .route_version = view_.route_version(),
             .handshake = search.acknowledged,
             .flow = flow},
@@ -96,12 +97,14 @@
         auto const agent = agent_of(*member);
         bool const is_in_stage =
             queries_all || member->domain == options_.domain;
-        if (!is_in_stage || search.was_rejected_by(agent) ||
+        internal::agent_of_service const to{
+            .agent = agent, .service = search.service};
+        if (!is_in_stage || search.was_rejected_by(to) ||
             std::find(queried.begin(), queried.end(), agent) != queried.end())
             continue;
         queried.push_back(agent);
         if (loads_.is_uncertain(now, agent)) {
-            send_probe_packet(now, agent, flow, search, sink);
+            send_probe_packet(now, to, flow, search, sink);
             continue;
         }
         if (queries_all)
@@ -112,24 +115,25 @@
 }
 
 template <packet_sink Sink>
-void packet_balancer::end_search(
-    packet_flow const& flow, endpoint holder, Sink& sink) {
+void packet_balancer::end_search(packet_flow const& flow,
+    internal::agent_of_service const& holder, Sink& sink) {
     auto const found = searches_.find(flow);
     if (found == searches_.end())
         return;
     auto& search = found->second;
     for (auto const& packet : search.retained)
-        sink.send(holder, {.kind = agent_packet_kind::forward,
-                              .service = search.service,
-                              .route_version = view_.route_version(),
-                              .flow = flow,
-                              .packet = packet});
+        sink.send(holder.agent, {.kind = agent_packet_kind::forward,
+                                    .service = holder.service,
+                                    .route_version = view_.route_version(),
+                                    .flow = flow,
+                                    .packet = packet});
     searches_.erase(found);
 }
 
 template <packet_sink Sink>
-void packet_balancer::on_rejected(
-    instant now, endpoint from, packet_flow const& flow, Sink& sink) {
+void packet_balancer::on_rejected(instant now,
+    internal::agent_of_service const& from, packet_flow const& flow,
+    Sink& sink) {
     auto const found = searches_.find(flow);
     if (found == searches_.end() || found->second.was_rejected_by(from))
         return;
@@ -143,15 +147,19 @@
 template <packet_sink Sink>
 bool packet_balancer::reset_if_not_found(instant now, packet_flow const& flow,
     internal::flow_search& search, Sink& sink) {
-    if (search.rejected_by.empty() || !is_rejected_by_all(now, search))
+    if (!is_rejected_by_service(now, search))
         return false;
     if (search.rejected_at == instant{})
         search.rejected_at = now;
+    if (!search.queries_other_services)
+        query_other_services(now, search);
     if (!search.is_confirmed) {
         if (!std::exchange(search.awaits_read, true))
             sink.refresh_members();
         return false;
     }
+    if (!is_rejected_by_other_services(now, flow, search))
+        return false;
     sink.log({.number = packet_event::flow_reset,
         .flow = flow,
         .why = refusal::not_held,
@@ -191,7 +199,14 @@
         bool const is_due = now >= search.next_query_at;
         bool const is_over =
             is_due && reset_if_not_found(now, flow, search, sink);
-        is_any_due = is_any_due || (is_due && !is_over);
+        if (is_due && !is_over) {
+            is_any_due = true;
+            // Agents of the service that do not reply must not delay the
+            // others.
+            if (search.queries_other_services ||
+                now - search.started_at >= options_.search_interval)
+                query_other_services(now, search);
+        }
         if (is_due && !is_over && !uses_lists) {
             search.stage = internal::search_stage::all;
             query_agents(now, flow, search, sink);
@@ -200,21 +215,24 @@
     }
     if (uses_lists && is_any_due)
         request_lists(now, sink);
+    if (now >= reassigned_list_due_)
+        request_reassigned_lists(now, sink);
 }
 
 // Only the backend server knows whether it holds the flow; the agent passes one
 // packet of the flow to it.
 template <packet_sink Sink>
-void packet_balancer::send_probe_packet(instant now, endpoint agent,
-    packet_flow const& flow, internal::flow_search& search, Sink& sink) {
-    if (search.retained.empty() || search.packet_sent_to.contains(agent) ||
+void packet_balancer::send_probe_packet(instant now,
+    internal::agent_of_service const& to, packet_flow const& flow,
+    internal::flow_search& search, Sink& sink) {
+    if (search.retained.empty() || search.packet_sent_to.contains(to.agent) ||
         !search_budget_.has_left(now))
         return;
-    search.packet_sent_to.insert(agent);
+    search.packet_sent_to.insert(to.agent);
     search.packet_sent_at = now;
-    send_search_message(now, agent,
+    send_search_message(now, to.agent,
         {.kind = agent_packet_kind::locate,
-            .service = search.service,
+            .service = to.service,
             .route_version = view_.route_version(),
             .handshake = search.acknowledged,
             .flow = flow,
@@ -225,18 +243,20 @@
 template <packet_sink Sink>
 void packet_balancer::on_not_held(instant now, endpoint from,
     agent_packet const& message, flow_packet const* packet, Sink& sink) {
+    internal::agent_of_service const sender{
+        .agent = from, .service = message.service};
     loads_.reply_received(now, from);
     if (message.is_uncertain) {
         loads_.certainty_reported(now, from, true);
         auto const found = searches_.find(message.flow);
         if (found != searches_.end())
-            send_probe_packet(now, from, message.flow, found->second, sink);
+            send_probe_packet(now, sender, message.flow, found->second, sink);
         return;
     }
     if (message.is_locate_reply)
-        return on_rejected(now, from, message.flow, sink);
+        return on_rejected(now, sender, message.flow, sink);
     auto const it = flows_.find(message.flow);
-    if (it != flows_.end() && it->second.agent == from)
+    if (it != flows_.end() && it->second.holder.agent == from)
         flows_.erase(it);
     auto const service = view_.service_of(message.flow.service);
     if (packet != nullptr && service != 0)
--- a/packages/core/include/radishspread/core/rs_agent_packet.hpp
+++ b/packages/core/include/radishspread/core/rs_agent_packet.hpp
@@ -57,7 +57,12 @@
     /// `not_held`, `listed`: the backend server may hold flows that the agent
     /// does not know; only a probe with a packet shows whether it does.
     bool is_uncertain = false;
-    std::uint32_t service = 0;       ///< `name_tag` of the service.
+    /// `list`, `listed`: only flows whose route names another service by now.
+    bool is_of_reassigned = false;
+    /// `name_tag` of the service of the agent's backend server: to the agent,
+    /// as the balancer knows it; in a reply that rejects a flow or lists flows,
+    /// as in the query.
+    std::uint32_t service = 0;
     std::uint64_t route_version = 0; ///< Newest known to the sender.
     /// `open`: limit of openings per second at a cold backend server, in units
     /// of 1/`cold_rate_units`; 0: no limit.
--- a/packages/core/include/radishspread/core/rs_fleet_view.hpp
+++ b/packages/core/include/radishspread/core/rs_fleet_view.hpp
@@ -73,6 +73,10 @@
     /// than `removed_member_limit` ago.
     [[nodiscard]] std::span<member const* const> members_of(
         std::uint32_t service) const;
+    /// Members of all services, as in `members_of`.
+    [[nodiscard]] std::span<member const* const> members() const {
+        return all_members_;
+    }
     /// Member at this address, or null; of several, one that is not removed,
     /// then the one started last.
     [[nodiscard]] member const* find(endpoint backend) const;
@@ -116,6 +120,7 @@
 
     std::map<std::string, held_revision, std::less<>> revisions_;
     std::map<std::string, member, std::less<>> members_;
+    std::vector<member const*> all_members_;
     std::unordered_map<std::uint32_t, std::vector<member const*>> by_service_;
     std::unordered_map<std::uint32_t, std::vector<member const*>> by_host_;
     instant next_prune_at_;
--- a/packages/core/include/radishspread/core/rs_packet_agent.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_agent.hpp
@@ -95,8 +95,10 @@
                (oldest_probe_at_ != instant{} &&
                    now - oldest_probe_at_ >= options_.probe_timeout);
     }
-    /// Hashes of the flows that the backend server may hold.
-    [[nodiscard]] std::vector<std::uint64_t> listable_flows() const;
+    /// Hashes of the flows that the backend server may hold and that the query
+    /// asks for.
+    [[nodiscard]] std::vector<std::uint64_t> listable_flows(
+        agent_packet const& query) const;
     template <packet_sink Sink>
     void on_packet(instant now, endpoint from, agent_packet const& message,
         flow_packet const& packet, Sink& sink);
@@ -110,8 +112,9 @@
     template <packet_sink Sink>
     void send_held(endpoint to, packet_flow const& flow,
         internal::held_flow const& it, Sink& sink);
+    /// Replies that the backend server does not hold the flow of `query`.
     template <packet_sink Sink>
-    void send_not_held(endpoint to, packet_flow const& flow,
+    void send_not_held(endpoint to, agent_packet const& query,
         bool is_locate_reply, std::span<std::byte const> bytes, Sink& sink);
 
     /// Reason to decline the opening; `none` if it is admitted.
--- a/packages/core/include/radishspread/core/rs_packet_balancer.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_balancer.hpp
@@ -8,6 +8,7 @@
 #include <radishspread/core/internal/rs_jitter.hpp>
 #include <radishspread/core/internal/rs_pending_opening.hpp>
 #include <radishspread/core/internal/rs_placement.hpp>
+#include <radishspread/core/internal/rs_reassigned_lists.hpp>
 #include <radishspread/core/internal/rs_retry_tokens.hpp>
 #include <radishspread/core/rs_fleet_view.hpp>
 #include <radishspread/core/rs_flow_list.hpp>
@@ -81,6 +82,14 @@
     using search_table = std::unordered_map<packet_flow, internal::flow_search,
         packet_flow_hash>;
 
+    /// What the searches at other services need.
+    struct reassigned_request {
+        std::uint32_t newest = 0; ///< Last request that covers all of them.
+        /// Service that the routes of all these flows name, whose agents need
+        /// not be asked; 0 if there are several.
+        std::uint32_t only_service = 0;
+    };
+
     template <packet_sink Sink>
     void on_open(instant now, flow_packet const& packet, Sink& sink);
     template <packet_sink Sink>
@@ -103,8 +112,9 @@
         instant now, endpoint agent, agent_packet const& message, Sink& sink);
     /// Queries one agent, which must reply.
     template <packet_sink Sink>
-    void query_agent(instant now, endpoint agent, packet_flow const& flow,
-        internal::flow_search const& search, Sink& sink);
+    void query_agent(instant now, internal::agent_of_service const& to,
+        packet_flow const& flow, internal::flow_search const& search,
+        Sink& sink);
     /// Requests lists of flows from the agents of all services that have a
     /// search in progress.
     template <packet_sink Sink> void request_lists(instant now, Sink& sink);
@@ -113,6 +123,27 @@
     template <packet_sink Sink>
     void on_listed(
         instant now, endpoint from, agent_packet const& message, Sink& sink);
+    /// Applies new routes to the searches; ends those whose route was removed.
+    void apply_routes_to_searches(instant now);
+    /// Lets lists be requested from the agents of the other services, as soon
+    /// as the interval between requests allows.
+    void query_other_services(instant now, internal::flow_search& search);
+    /// Requests lists of reassigned flows, as far as the limit of search
+    /// messages allows, from the agents that the searches at other services
+    /// need them of.
+    template <packet_sink Sink>
+    void request_reassigned_lists(instant now, Sink& sink);
+    /// Lets the searches at other services join the request for lists `number`.
+    [[nodiscard]] reassigned_request join_reassigned_lists(
+        instant now, std::uint32_t number);
+    template <packet_sink Sink>
+    void on_reassigned_listed(
+        instant now, endpoint from, agent_packet const& message, Sink& sink);
+    /// Sends a packet of each flow that is searched for at other services to an
+    /// uncertain agent of one of them.
+    template <packet_sink Sink>
+    void probe_for_other_services(
+        instant now, internal::agent_of_service const& agent, Sink& sink);
     /// True if a list of the agent's flows can advance any search of the
     /// service.
     [[nodiscard]] bool needs_list_of(
@@ -125,13 +156,14 @@
     /// Sends the packets retained in the search to the holder and removes the
     /// search.
     template <packet_sink Sink>
-    void end_search(packet_flow const& flow, endpoint holder, Sink& sink);
+    void end_search(packet_flow const& flow,
+        internal::agent_of_service const& holder, Sink& sink);
     template <packet_sink Sink>
-    void on_rejected(
-        instant now, endpoint from, packet_flow const& flow, Sink& sink);
-    /// Resets the flow if all agents have rejected it and a later read of the
-    /// configuration has confirmed that these are all agents. Returns true if
-    /// the search has ended.
+    void on_rejected(instant now, internal::agent_of_service const& from,
+        packet_flow const& flow, Sink& sink);
+    /// Resets the flow if the agents of all services have rejected it and a
+    /// later read of the configuration has confirmed that these are all agents.
+    /// Returns true if the search has ended.
     template <packet_sink Sink>
     bool reset_if_not_found(instant now, packet_flow const& flow,
         internal::flow_search& search, Sink& sink);
@@ -143,8 +175,8 @@
     /// Sends a packet of the flow to an agent that cannot otherwise determine
     /// whether its backend server holds the flow.
     template <packet_sink Sink>
-    void send_probe_packet(instant now, endpoint agent, packet_flow const& flow,
-        internal::flow_search& search, Sink& sink);
+    void send_probe_packet(instant now, internal::agent_of_service const& to,
+        packet_flow const& flow, internal::flow_search& search, Sink& sink);
     /// Sends a packet of each flow that is searched for to an uncertain agent.
     template <packet_sink Sink>
     void probe_for_all_searches(
@@ -190,8 +222,18 @@
     [[nodiscard]] endpoint agent_of(fleet_view::member const& member) const;
     [[nodiscard]] internal::placement_candidates candidates(
         instant now, opening const& pending) const;
-    [[nodiscard]] bool is_rejected_by_all(
+    /// True if all agents of the service that the flow's route names have
+    /// rejected the flow.
+    [[nodiscard]] bool is_rejected_by_service(
         instant now, internal::flow_search const& search) const;
+    /// True if all agents of the other services have rejected the flow, and at
+    /// least one agent at all.
+    [[nodiscard]] bool is_rejected_by_other_services(instant now,
+        packet_flow const& flow, internal::flow_search const& search) const;
+    /// True if a flow may be reset without a reply of the member's agent, which
+    /// was queried first at `queried_at`.
+    [[nodiscard]] bool needs_no_reply_of(instant now,
+        fleet_view::member const& member, instant queried_at) const;
     [[nodiscard]] fleet_view::member const* find_member(endpoint agent) const;
     /// True if the flow's route still exists.
     [[nodiscard]] bool is_allowed(
@@ -201,8 +243,8 @@
     [[nodiscard]] agent_packet make_open(instant now, packet_flow const& flow,
         std::uint32_t service, endpoint agent,
         std::span<std::byte const> bytes) const;
-    void cache_agent(instant now, packet_flow const& flow, endpoint agent,
-        std::uint32_t handshake);
+    void cache_holder(instant now, packet_flow const& flow,
+        internal::flow_holder const& holder);
     void sweep(instant now);
     /// Detects and logs that no agent can be reached, or that one replies
     /// again; checks the agents meanwhile.
@@ -216,6 +258,12 @@
     search_table searches_;
     std::uint32_t list_number_ = 0; ///< Number of the last request for lists.
     instant last_list_at_;
+    std::uint64_t searched_route_version_ = 0; ///< Applied to the searches.
+    internal::reassigned_lists reassigned_;
+    instant last_reassigned_list_at_;
+    instant reassigned_list_due_ = instant::max();
+    std::string
+        reassigned_list_member_; ///< Member that was asked for one last.
     internal::agent_loads loads_;
     internal::byte_budget search_budget_;
     internal::retry_tokens retries_;
@@ -231,6 +279,7 @@
 
 #include <radishspread/core/internal/rs_packet_balancer_impl.hpp>
 #include <radishspread/core/internal/rs_packet_list_impl.hpp>
+#include <radishspread/core/internal/rs_packet_reassigned_impl.hpp>
 #include <radishspread/core/internal/rs_packet_search_impl.hpp>
 
 #endif
--- a/packages/core/include/radishspread/core/rs_packet_events.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_events.hpp
@@ -27,6 +27,7 @@
 inline constexpr std::uint16_t flows_listed = 1613;
 inline constexpr std::uint16_t agents_unreachable = 1614;
 inline constexpr std::uint16_t agents_recovered = 1615;
+inline constexpr std::uint16_t other_services_queried = 1616;
 inline constexpr std::uint16_t opening_admitted = 1620;
 inline constexpr std::uint16_t opening_declined = 1621;
 inline constexpr std::uint16_t opening_returned = 1622;
@@ -53,7 +54,7 @@
 inline constexpr std::uint16_t malformed_datagram = 1655;
 inline constexpr std::uint16_t listen_failed = 1656;
 inline constexpr std::uint16_t lines_dropped = 1657;
-inline constexpr std::size_t count = 42;
+inline constexpr std::size_t count = 43;
 
 } // namespace packet_event
 
@@ -92,6 +93,9 @@
             "no agent replies, leaving the rotation; value: ms"},
         {packet_event::agents_recovered, severity::info,
             "agents reply again, back in rotation"},
+        {packet_event::other_services_queried, severity::info,
+            "lists of reassigned flows requested from agents of other "
+            "services; value: agents"},
         {packet_event::opening_admitted, severity::info,
             "opening passed to the backend server; value: open flows"},
         {packet_event::opening_declined, severity::info,
--- a/packages/core/src/rs_fleet_view.cpp
+++ b/packages/core/src/rs_fleet_view.cpp
@@ -157,9 +157,11 @@
 }
 
 void fleet_view::index_members() {
+    all_members_.clear();
     by_service_.clear();
     by_host_.clear();
     for (auto const& [name, it] : members_) {
+        all_members_.push_back(&it);
         by_service_[it.service].push_back(&it);
         by_host_[it.backend.address].push_back(&it);
     }
--- a/packages/core/src/rs_packet_agent.cpp
+++ b/packages/core/src/rs_packet_agent.cpp
@@ -42,11 +42,20 @@
     return self == nullptr ? reported_slots_ : self->slots;
 }
 
-std::vector<std::uint64_t> packet_agent::listable_flows() const {
+// Under other routes than the balancer's, the agent cannot tell which flows the
+// balancer searches for here, so it lists all.
+std::vector<std::uint64_t> packet_agent::listable_flows(
+    agent_packet const& query) const {
+    bool const lists_all =
+        !query.is_of_reassigned || query.route_version != view_.route_version();
     std::vector<std::uint64_t> out;
-    for (auto const& [flow, it] : flows_)
-        if (it.state != held_state::absent && it.state != held_state::probed)
+    for (auto const& [flow, it] : flows_) {
+        bool const is_held =
+            it.state != held_state::absent && it.state != held_state::probed;
+        if (is_held &&
+            (lists_all || view_.service_of(flow.service) != options_.service))
             out.push_back(hash_value(flow));
+    }
     return out;
 }
 
--- a/packages/core/src/rs_packet_balancer.cpp
+++ b/packages/core/src/rs_packet_balancer.cpp
@@ -1,7 +1,9 @@
 #include <radishspread/core/rs_packet_balancer.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
+#include <utility>
 
 namespace radishspread {
 
@@ -39,7 +41,8 @@
     return std::any_of(
         searches_.begin(), searches_.end(), [&](auto const& entry) {
             auto const& search = entry.second;
-            if (search.service != service || search.was_rejected_by(agent))
+            if (search.service != service ||
+                search.was_rejected_by({.agent = agent, .service = service}))
                 return false;
             if (!search.packet_sent_to.contains(agent))
                 return !is_uncertain;
@@ -58,26 +61,91 @@
     return is_local || now - search.started_at >= options_.local_probe_period;
 }
 
-bool packet_balancer::is_rejected_by_all(
-    instant now, internal::flow_search const& search) const {
+// A backend server removed long ago no longer holds its flows; one whose agent
+// has been unresponsive for longer than any restart cannot serve them.
+bool packet_balancer::needs_no_reply_of(
+    instant now, fleet_view::member const& member, instant queried_at) const {
     bool const had_time =
-        search.queried_all_at != instant{} &&
-        now - search.queried_all_at >= options_.search_interval;
+        queried_at != instant{} && now - queried_at >= options_.search_interval;
+    bool const is_gone =
+        member.is_removed &&
+        now - member.removal_effective_at >= options_.removed_grace_period;
+    return is_gone || (had_time && loads_.is_unresponsive(now, agent_of(member),
+                                       options_.unresponsive_timeout));
+}
+
+bool packet_balancer::is_rejected_by_service(
+    instant now, internal::flow_search const& search) const {
     auto const members = view_.members_of(search.service);
     return std::all_of(members.begin(), members.end(), [&](auto const* member) {
-        auto const agent = agent_of(*member);
-        if (search.was_rejected_by(agent))
-            return true;
-        // A backend server removed long ago no longer holds its flows; one
-        // whose agent has been unresponsive for longer than any restart cannot
-        // serve them.
-        return (member->is_removed && now - member->removal_effective_at >=
-                                          options_.removed_grace_period) ||
-               (had_time && loads_.is_unresponsive(
-                                now, agent, options_.unresponsive_timeout));
+        return search.was_rejected_by(
+                   {.agent = agent_of(*member), .service = member->service}) ||
+               needs_no_reply_of(now, *member, search.queried_all_at);
     });
 }
 
+bool packet_balancer::is_rejected_by_other_services(instant now,
+    packet_flow const& flow, internal::flow_search const& search) const {
+    auto const hash = hash_value(flow);
+    bool is_rejected_by_any = !search.rejected_by.empty();
+    for (auto const* member : view_.members()) {
+        if (member->service == search.service)
+            continue;
+        internal::agent_of_service const agent{
+            .agent = agent_of(*member), .service = member->service};
+        bool const is_absent =
+            reassigned_.find(agent, hash, search.first_reassigned_list,
+                view_.route_version()) == internal::list_finding::absent;
+        is_rejected_by_any = is_rejected_by_any || is_absent;
+        if (!is_absent && !search.was_rejected_by(agent) &&
+            !needs_no_reply_of(now, *member, search.reassigned_listed_at))
+            return false;
+    }
+    return is_rejected_by_any;
+}
+
+// What an agent lists as reassigned depends on the routes, so a search must use
+// the same ones. The caller's next packet resets a flow whose route was
+// removed.
+void packet_balancer::apply_routes_to_searches(instant now) {
+    if (std::exchange(searched_route_version_, view_.route_version()) ==
+        view_.route_version())
+        return;
+    for (auto entry = searches_.begin(); entry != searches_.end();) {
+        auto& [flow, search] = *entry;
+        auto const service = view_.service_of(flow.service);
+        if (service != search.service)
+            search.restart_at(now, service);
+        entry = service == 0 ? searches_.erase(entry) : std::next(entry);
+    }
+}
+
+void packet_balancer::query_other_services(
+    instant now, internal::flow_search& search) {
+    search.queries_other_services = true;
+    reassigned_list_due_ =
+        std::max(now, last_reassigned_list_at_ + options_.list_interval);
+}
+
+packet_balancer::reassigned_request packet_balancer::join_reassigned_lists(
+    instant now, std::uint32_t number) {
+    reassigned_request out;
+    for (auto& [flow, search] : searches_) {
+        if (!search.queries_other_services)
+            continue;
+        if (out.newest == 0)
+            out.only_service = search.service;
+        else if (out.only_service != search.service)
+            out.only_service = 0;
+        if (search.first_reassigned_list == 0) {
+            search.first_reassigned_list = number;
+            search.reassigned_listed_at = now;
+        }
+        out.newest = std::max(out.newest, search.first_reassigned_list);
+    }
+    return out;
+}
+
 internal::placement_candidates packet_balancer::candidates(
     instant now, opening const& pending) const {
     internal::placement_candidates list;
@@ -150,27 +218,22 @@
     it->second.reply_due = instant::max();
 }
 
-void packet_balancer::cache_agent(instant now, packet_flow const& flow,
-    endpoint agent, std::uint32_t handshake) {
+void packet_balancer::cache_holder(
+    instant now, packet_flow const& flow, internal::flow_holder const& holder) {
     auto const [found, is_new] = flows_.try_emplace(flow);
     auto& cached = found->second;
     cached.last_packet_at = now;
     // Both agents have forwarded an opening reply to the caller.
-    bool const is_second_reply = !is_new && cached.agent != agent &&
-                                 handshake != 0 && cached.handshake != 0;
-    if (is_second_reply) {
-        cached.second_agent = agent;
-        cached.second_handshake = handshake;
-    } else {
-        cached.agent = agent;
-        cached.handshake = handshake;
-    }
+    bool const is_second_reply =
+        !is_new && cached.holder.agent != holder.agent &&
+        holder.handshake != 0 && cached.holder.handshake != 0;
+    (is_second_reply ? cached.second_holder : cached.holder) = holder;
 }
 
 std::optional<instant> packet_balancer::next_due() const {
     if (openings_.empty() && searches_.empty())
         return std::nullopt;
-    auto due = instant::max();
+    auto due = reassigned_list_due_;
     for (auto const& [flow, search] : searches_)
         due = std::min(due, search.next_query_at);
     for (auto const& [flow, pending] : openings_)
@@ -188,6 +251,8 @@
         return now - entry.second.last_caller_packet_at >=
                options_.search_age_limit;
     });
+    if (searches_.empty())
+        reassigned_.clear();
     auto limit = options_.idle_limit;
     do {
         std::erase_if(flows_, [&](auto const& entry) {
--- a/packages/wire/src/rs_agent_packet_codec.cpp
+++ b/packages/wire/src/rs_agent_packet_codec.cpp
@@ -20,6 +20,7 @@
 constexpr std::uint8_t locate_reply_flag = 4;
 constexpr std::uint8_t must_reply_flag = 8;
 constexpr std::uint8_t uncertain_flag = 16;
+constexpr std::uint8_t reassigned_flag = 32;
 
 /// Wire layout of the header: big-endian, without padding.
 struct header {
@@ -48,7 +49,8 @@
                            (it.is_cold ? cold_flag : 0U) |
                            (it.is_locate_reply ? locate_reply_flag : 0U) |
                            (it.must_reply ? must_reply_flag : 0U) |
-                           (it.is_uncertain ? uncertain_flag : 0U);
+                           (it.is_uncertain ? uncertain_flag : 0U) |
+                           (it.is_of_reassigned ? reassigned_flag : 0U);
     return static_cast<std::uint8_t>(flags);
 }
 
@@ -101,6 +103,7 @@
         .is_locate_reply = (in.flags & locate_reply_flag) != 0,
         .must_reply = (in.flags & must_reply_flag) != 0,
         .is_uncertain = (in.flags & uncertain_flag) != 0,
+        .is_of_reassigned = (in.flags & reassigned_flag) != 0,
         .service = in.service.value(),
         .route_version = in.route_version.value(),
         .cold_rate = in.cold_rate.value(),
--- a/packages/wire/tests/rs_agent_packet_codec_test.cpp
+++ b/packages/wire/tests/rs_agent_packet_codec_test.cpp
@@ -32,6 +32,7 @@
         .is_locate_reply = true,
         .must_reply = true,
         .is_uncertain = true,
+        .is_of_reassigned = true,
         .service = 0xa1b2c3d4,
         .route_version = 0x1122334455667788,
         .cold_rate = 400,
@@ -50,7 +51,7 @@
     CHECK(out.has_value());
     CHECK(out->kind == message.kind && out->why == message.why);
     CHECK(out->may_queue && out->is_cold && out->is_locate_reply);
-    CHECK(out->must_reply && out->is_uncertain);
+    CHECK(out->must_reply && out->is_uncertain && out->is_of_reassigned);
     CHECK_EQUAL(message.service, out->service);
     CHECK_EQUAL(message.route_version, out->route_version);
     CHECK_EQUAL(message.cold_rate, out->cold_rate);
