Read replies with the largest item that the store admits

Cause: a reply was given up beyond 1 MiB, which is the limit of a section of the document component. One item may be as large before it is encoded. Ruled out: the parser (780,000 bytes are followed, also after a kill).

A watch with a larger reply is followed by a read of all items, since the same watch would fail each time.

Evidence, with the old limit and without the read: item_source reply_with_the_largest_item_is_read "CHECK(run_until_watches(1)) failed", watch_with_too_large_a_reply_is_followed_by_a_read "but was <1>".

--- a/packages/config/include/radishspread/config/rs_packet_settings.hpp
+++ b/packages/config/include/radishspread/config/rs_packet_settings.hpp
@@ -5,6 +5,7 @@
 #include <radishspread/config/rs_settings.hpp>
 #include <radishspread/core/rs_endpoint.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -28,6 +29,8 @@
     /// Time within which no opening may go to a backend server any more once
     /// the configuration service has acknowledged that it drains.
     duration drain_bound = std::chrono::seconds(2);
+    /// Largest value of an item of the configuration service, in bytes.
+    std::size_t max_item_size = 1U << 20U;
     endpoint backend_address;  ///< Agent: the backend server receives here.
     endpoint outbound_address; ///< Agent: the backend server sends here.
     std::string service;       ///< Agent: name of the service.
--- a/packages/config/src/rs_packet_settings.cpp
+++ b/packages/config/src/rs_packet_settings.cpp
@@ -19,6 +19,9 @@
 constexpr double min_drain_bound_ms = 100;
 constexpr double max_drain_bound_ms = 3'600'000;
 
+constexpr std::uint32_t min_item_bytes = 1024;
+constexpr std::uint32_t max_item_bytes = 16U << 20U;
+
 endpoint read_endpoint(map_reader& top, std::string_view key) {
     return top.address_and_port(key).value_or(endpoint{});
 }
@@ -70,6 +73,9 @@
     if (drain)
         out.drain_bound =
             std::chrono::milliseconds(static_cast<std::int64_t>(*drain));
+    auto const item = top.integer<std::uint32_t>(
+        "max_item_bytes", min_item_bytes, max_item_bytes, presence::optional);
+    out.max_item_size = item.value_or(out.max_item_size);
     if (out.role == role::agent)
         read_agent(top, out);
     top.finish();
--- a/packages/core/include/radishspread/core/rs_packet_events.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_events.hpp
@@ -46,6 +46,7 @@
 inline constexpr std::uint16_t source_recovered = 1645;
 inline constexpr std::uint16_t history_lost = 1646;
 inline constexpr std::uint16_t read_failed = 1647;
+inline constexpr std::uint16_t reply_too_large = 1648;
 inline constexpr std::uint16_t process_started = 1650;
 inline constexpr std::uint16_t process_stopping = 1651;
 inline constexpr std::uint16_t process_stopped = 1652;
@@ -54,7 +55,7 @@
 inline constexpr std::uint16_t malformed_datagram = 1655;
 inline constexpr std::uint16_t listen_failed = 1656;
 inline constexpr std::uint16_t lines_dropped = 1657;
-inline constexpr std::size_t count = 43;
+inline constexpr std::size_t count = 44;
 
 } // namespace packet_event
 
@@ -134,6 +135,9 @@
             "history of the configuration service expired; reading all items"},
         {packet_event::read_failed, severity::info,
             "call to the configuration service failed; value: status"},
+        {packet_event::reply_too_large, severity::warning,
+            "reply to a watch of the configuration service too large; reading "
+            "all items"},
         {packet_event::process_started, severity::info, "process started"},
         {packet_event::process_stopping, severity::info,
             "graceful shutdown started; value: flows"},
--- a/packages/runtime/include/radishspread/runtime/internal/rs_configuration_call.hpp
+++ b/packages/runtime/include/radishspread/runtime/internal/rs_configuration_call.hpp
@@ -6,6 +6,7 @@
 
 #include <libsoup/soup.h>
 
+#include <cstddef>
 #include <memory>
 #include <string>
 
@@ -17,7 +18,10 @@
 class configuration_call
     : public std::enable_shared_from_this<configuration_call> {
 public:
-    configuration_call(instant deadline, response_callback callback);
+    /// A reply of more than `max_reply_size` bytes ends with the error
+    /// `message_size`.
+    configuration_call(instant deadline, std::size_t max_reply_size,
+        response_callback callback);
     ~configuration_call();
     configuration_call(configuration_call const&) = delete;
     configuration_call& operator=(configuration_call const&) = delete;
@@ -43,6 +47,7 @@
     void finish(std::error_code ec);
 
     instant deadline_;
+    std::size_t max_reply_size_;
     response_callback callback_;
     SoupMessage* message_ = nullptr;
     GInputStream* stream_ = nullptr;
--- a/packages/runtime/include/radishspread/runtime/rs_configuration_client.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_configuration_client.hpp
@@ -4,9 +4,11 @@
 #include <radishspread/core/rs_endpoint.hpp>
 #include <radishspread/core/rs_time.hpp>
 #include <radishspread/runtime/rs_section_response.hpp>
+#include <radishspread/runtime/rs_section_tag.hpp>
 
 #include <libsoup/soup.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -25,6 +27,8 @@
     duration watch_wait = std::chrono::seconds(25);
     /// A watch without a response times out this long after `watch_wait`.
     duration watch_grace = std::chrono::seconds(2);
+    /// A longer reply ends with the error `message_size`; in bytes.
+    std::size_t max_reply_size = max_section_size;
 };
 
 /// Reads and watches the configuration service over HTTP/1.1. Callbacks are
--- a/packages/runtime/include/radishspread/runtime/rs_item_source.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_item_source.hpp
@@ -39,6 +39,7 @@
         if (!call)
             return;
         is_peer_call_ = call->peer.is_set();
+        is_watch_call_ = call->is_watch;
         call_ = client_.get(is_peer_call_ ? call->peer : service_,
             is_peer_call_ ? peer_path_ : Platform::path_of(*call),
             now + call->timeout,
@@ -91,6 +92,12 @@
             log_({.number = packet_event::history_lost});
             return follower_.handle_history_lost(now);
         }
+        // The same watch would fail again; a read returns less, since it has
+        // only the last revision of each item.
+        if (is_watch_call_ && reply.code == std::errc::message_size) {
+            log_({.number = packet_event::reply_too_large});
+            return follower_.handle_history_lost(now);
+        }
         follower_.handle_failure(now, reply.status != too_many_requests, view_);
         log_({.number = follower_.failures() == 1
                             ? packet_event::source_unreachable
@@ -132,6 +139,7 @@
     item_follower follower_;
     std::string peer_path_;
     bool is_peer_call_ = false; ///< The outstanding call goes to a peer.
+    bool is_watch_call_ = false;
     fleet_view& view_;
     configuration_client& client_;
     endpoint service_;
--- a/packages/runtime/include/radishspread/runtime/rs_view_sources.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_view_sources.hpp
@@ -23,7 +23,9 @@
         std::vector<std::string> prefixes, item_follower_options options,
         duration member_collect_interval, page_callback const& on_page)
         : shell_(shell), view_(view), prefixes_(std::move(prefixes)),
-          client_({.service = shell.settings().configuration_service}) {
+          client_({.service = shell.settings().configuration_service,
+              .max_reply_size =
+                  max_reply_size(shell.settings().max_item_size)}) {
         auto const& settings = shell.settings();
         for (auto const& it : settings.peers)
             if (it.address != settings.packet_address.address)
@@ -117,6 +119,14 @@
         return out;
     }
 
+    /// Limit of a reply in bytes. A page has about a mebibyte of items and may
+    /// end with the largest one. Values take a third more in base64; the rest
+    /// is for names and numbers.
+    static constexpr std::size_t max_reply_size(std::size_t max_item_size) {
+        constexpr std::size_t page_size = 1U << 20U;
+        return 2 * (page_size + max_item_size);
+    }
+
     static std::string peer_path(std::size_t n) {
         return "/v1/items/" + std::to_string(n);
     }
--- a/packages/runtime/src/rs_configuration_call.cpp
+++ b/packages/runtime/src/rs_configuration_call.cpp
@@ -1,5 +1,4 @@
 #include <radishspread/runtime/internal/rs_configuration_call.hpp>
-#include <radishspread/runtime/rs_section_tag.hpp>
 
 #include <charconv>
 #include <cstring>
@@ -28,9 +27,9 @@
 } // namespace
 
 configuration_call::configuration_call(
-    instant deadline, response_callback callback)
-    : deadline_(deadline), callback_(std::move(callback)),
-      cancellable_(g_cancellable_new()) {}
+    instant deadline, std::size_t max_reply_size, response_callback callback)
+    : deadline_(deadline), max_reply_size_(max_reply_size),
+      callback_(std::move(callback)), cancellable_(g_cancellable_new()) {}
 
 configuration_call::~configuration_call() {
     g_clear_object(&stream_);
@@ -100,7 +99,7 @@
     g_bytes_unref(bytes);
     if (size == 0)
         return call.finish({});
-    if (call.response_.body.size() > max_section_size) {
+    if (call.response_.body.size() > call.max_reply_size_) {
         g_cancellable_cancel(call.cancellable_);
         return call.finish(std::make_error_code(std::errc::message_size));
     }
--- a/packages/runtime/tests/rs_item_source_test.cpp
+++ b/packages/runtime/tests/rs_item_source_test.cpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -41,9 +42,13 @@
     static char const* readiness_path() { return "/ready"; }
 };
 
-/// Configuration service that responds to reads at once and to watches never.
+/// Configuration service that responds to reads at once and to watches never,
+/// unless the test sets a size for the replies to them.
 class silent_watch_service {
 public:
+    std::string read_reply = "{}";
+    std::string watch_reply; ///< Empty: none.
+
     silent_watch_service() : server_(soup_server_new(nullptr, nullptr)) {
         soup_server_add_handler(server_, "/read", serve_read, this, nullptr);
         soup_server_add_handler(server_, "/watch", serve_watch, this, nullptr);
@@ -76,14 +81,21 @@
     static void serve_read(SoupServer*, SoupServerMessage* message, char const*,
         GHashTable*, gpointer self) {
         ++static_cast<silent_watch_service*>(self)->reads_;
+        respond(message, static_cast<silent_watch_service*>(self)->read_reply);
+    }
+    static void respond(SoupServerMessage* message, std::string const& body) {
         soup_server_message_set_status(message, SOUP_STATUS_OK, nullptr);
-        soup_server_message_set_response(
-            message, "application/json", SOUP_MEMORY_STATIC, "{}", 2);
+        soup_server_message_set_response(message, "application/json",
+            SOUP_MEMORY_COPY, body.data(), body.size());
     }
     static void serve_watch(SoupServer*, SoupServerMessage* message,
         char const*, GHashTable*, gpointer self) {
+        auto& service = *static_cast<silent_watch_service*>(self);
+        if (!service.watch_reply.empty())
+            return respond(
+                message, std::exchange(service.watch_reply, std::string()));
         soup_server_message_pause(message);
-        static_cast<silent_watch_service*>(self)->watches_.push_back(
+        service.watches_.push_back(
             static_cast<SoupServerMessage*>(g_object_ref(message)));
     }
 
@@ -97,7 +109,9 @@
 TEST_GROUP(item_source) {
     silent_watch_service service;
     fleet_view view;
-    configuration_client client{{.service = service.address()}};
+    static constexpr std::size_t max_reply_size = 4U << 20U;
+    configuration_client client{
+        {.service = service.address(), .max_reply_size = max_reply_size}};
     std::vector<std::string> ignored; ///< Names in the events.
     item_source<unreadable_item_platform> source{{.prefix = "backend/"},
         "/peer", view, client, service.address(), [](item_page const&, bool) {},
@@ -151,3 +165,19 @@
     CHECK_EQUAL(1, ignored.size());
     CHECK_EQUAL(std::string("backend/note"), ignored[0]);
 }
+
+// One item of the largest size makes the reply longer than the limit was. A
+// process that started then never got ready.
+TEST(item_source, reply_with_the_largest_item_is_read) {
+    service.read_reply = std::string(max_reply_size, ' ');
+    CHECK(run_until_watches(1));
+    CHECK(source.is_complete());
+}
+
+// The same watch fails each time, so that the process followed no change any
+// more.
+TEST(item_source, watch_with_too_large_a_reply_is_followed_by_a_read) {
+    service.watch_reply = std::string(max_reply_size + 1, ' ');
+    CHECK(run_until_watches(1));
+    CHECK_EQUAL(2, service.reads());
+}
