State in two test comments what the tests set and guard against

Cause: a reader could not tell what the stand-in of the configuration service does with watches, and why lists lack a flow after a change of the routes.

--- a/packages/core/tests/rs_packet_other_services_test.cpp
+++ b/packages/core/tests/rs_packet_other_services_test.cpp
@@ -150,8 +150,8 @@
     CHECK_EQUAL(1, sink.resets.size());
 }
 
-// Backend servers of the service that the route names now have the flow's own
-// agent among the others; the roles change with the routes.
+// After a change of the routes, the flow is not reassigned at the agents of the
+// service that they name, so the lists of these agents lack it.
 TEST(packet_other_services, change_of_the_service_starts_the_search_again) {
     search_and_reject();
     auto change = routes_of(6, 20);
--- a/packages/runtime/tests/rs_item_source_test.cpp
+++ b/packages/runtime/tests/rs_item_source_test.cpp
@@ -42,12 +42,12 @@
     static char const* readiness_path() { return "/ready"; }
 };
 
-/// Configuration service that responds to reads at once and to watches never,
-/// unless the test sets a size for the replies to them.
+/// Configuration service that responds to reads at once. It responds to one
+/// watch if the test sets `watch_reply`, and to no other.
 class silent_watch_service {
 public:
     std::string read_reply = "{}";
-    std::string watch_reply; ///< Empty: none.
+    std::string watch_reply;
 
     silent_watch_service() : server_(soup_server_new(nullptr, nullptr)) {
         soup_server_add_handler(server_, "/read", serve_read, this, nullptr);
