--- a/packages/wire/tests/rs_bounded_json_test.cpp
+++ b/packages/wire/tests/rs_bounded_json_test.cpp
@@ -83,8 +83,8 @@
     CHECK(!decode_items(text));
 }
 
-// A backend server without slots would be divided by; a time that does not fit
-// the clock would overflow it.
+// 65,536 slots became 0, which means an unknown number; a time that does not
+// fit the clock would overflow it.
 TEST(bounded_json, items_of_a_peer_are_limited_to_valid_ranges) {
     auto const page_with = [](std::string const& slots,
                                std::string const& warmup) {
