Let an agent decide by its own routes only

What callers saw: after one message with a version of the routes that no store ever had, an agent declined every opening with stale_view for as long as it ran, and repeated the version in all its replies.

Cause: packet_agent took the version of any message as the newest routes, declined what came by older ones, and named it as its own version.

Change: the agent names the version of its view and checks an opening against its own routes only if these are newer. Nothing else depends on the claim, so a wrong one has nothing to undo. A true one is read as fast as before.

--- a/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
@@ -31,11 +31,7 @@
     agent_packet const& message, flow_packet const* packet, Sink& sink) {
     last_event_at_ = now;
     balancers_[from] = now;
-    if (message.route_version > newest_routes_) {
-        newest_routes_ = message.route_version;
-        if (view_.route_version() < newest_routes_)
-            sink.catch_up(from);
-    }
+    check_claim(now, from, message.route_version, sink);
     if (packet == nullptr)
         on_locate(now, from, message, sink);
     else if (message.kind == agent_packet_kind::open)
@@ -47,6 +43,20 @@
         on_packet(now, from, message, *packet, sink);
 }
 
+// A version in a message is only a claim, which changes nothing by itself: one
+// that is wrong would never be refuted.
+template <packet_sink Sink>
+void packet_agent::check_claim(
+    instant now, endpoint from, std::uint64_t version, Sink& sink) {
+    if (!claims_.needs_look(now, version, view_.route_version()))
+        return;
+    sink.log({.number = packet_event::view_outdated,
+        .peer = from,
+        .version = version,
+        .value = static_cast<std::int64_t>(claims_.fruitless_looks())});
+    sink.catch_up(from);
+}
+
 template <packet_sink Sink>
 void packet_agent::on_locate(
     instant now, endpoint from, agent_packet const& message, Sink& sink) {
@@ -84,7 +94,7 @@
                         .is_locate_reply = true,
                         .is_uncertain = !is_rejected,
                         .service = message.service,
-                        .route_version = newest_routes_,
+                        .route_version = view_.route_version(),
                         .flow = message.flow});
 }
 
@@ -96,7 +106,7 @@
         .is_uncertain = !is_other && !is_table_conclusive(now),
         .is_of_reassigned = query.is_of_reassigned,
         .service = query.service,
-        .route_version = newest_routes_,
+        .route_version = view_.route_version(),
         .handshake = query.handshake};
     auto const flows =
         is_other ? std::vector<std::uint64_t>{} : listable_flows(query);
@@ -127,7 +137,7 @@
                       .why = refusal::not_held,
                       .is_locate_reply = is_locate_reply,
                       .service = query.service,
-                      .route_version = newest_routes_,
+                      .route_version = view_.route_version(),
                       .flow = query.flow,
                       .packet = bytes});
 }
@@ -194,7 +204,7 @@
         sink.log({.number = packet_event::opening_returned,
             .flow = flow,
             .peer = it.balancer});
-        agent_packet const message{.route_version = newest_routes_,
+        agent_packet const message{.route_version = view_.route_version(),
             .flow = flow,
             .packet = packet.bytes};
         return decline(
@@ -254,7 +264,6 @@
 
 template <packet_sink Sink>
 void packet_agent::view_changed(instant now, Sink& sink) {
-    newest_routes_ = std::max(newest_routes_, view_.route_version());
     auto const* self = view_.find(options_.backend);
     apply_announcement(self);
     int state = 0;
@@ -294,7 +303,7 @@
         if (now - last_received_at < balancer_age_limit)
             sink.send(to, {.kind = agent_packet_kind::leaving,
                               .service = options_.service,
-                              .route_version = newest_routes_});
+                              .route_version = view_.route_version()});
 }
 
 } // namespace radishspread
--- a/packages/core/include/radishspread/core/rs_packet_agent.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_agent.hpp
@@ -4,6 +4,7 @@
 #include <radishspread/core/internal/rs_held_flow.hpp>
 #include <radishspread/core/internal/rs_opening_queue.hpp>
 #include <radishspread/core/internal/rs_rate_window.hpp>
+#include <radishspread/core/internal/rs_version_claims.hpp>
 #include <radishspread/core/rs_fleet_view.hpp>
 #include <radishspread/core/rs_flow_list.hpp>
 #include <radishspread/core/rs_flow_packet.hpp>
@@ -71,6 +72,11 @@
     using flow_table =
         std::unordered_map<packet_flow, internal::held_flow, packet_flow_hash>;
 
+    /// Looks for newer routes if a message names a version that the view does
+    /// not have.
+    template <packet_sink Sink>
+    void check_claim(
+        instant now, endpoint from, std::uint64_t version, Sink& sink);
     template <packet_sink Sink>
     void on_open(instant now, endpoint from, agent_packet const& message,
         flow_packet const& packet, Sink& sink);
@@ -152,7 +158,7 @@
     std::deque<std::pair<instant, packet_flow>> unused_;
     std::size_t open_ = 0;
     std::size_t in_progress_ = 0;
-    std::uint64_t newest_routes_ = 0; ///< Newest version in view and messages.
+    internal::version_claims claims_; ///< By messages, of the routes.
     internal::rate_window cold_window_{std::chrono::seconds(1)};
     std::uint16_t reported_slots_ = 0; ///< From the last `open` message.
     int reported_state_ = -1;
--- a/packages/core/include/radishspread/core/rs_packet_events.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_events.hpp
@@ -83,7 +83,8 @@
             "agent does not reply to openings"},
         {packet_event::agent_leaving, severity::info, "agent is leaving"},
         {packet_event::view_outdated, severity::warning,
-            "an agent has seen newer routes; reading them"},
+            "a message names newer routes; looking for them; value: looks in "
+            "vain"},
         {packet_event::paused, severity::warning,
             "process was paused; value: length in ms"},
         {packet_event::table_full, severity::warning,
--- a/packages/core/include/radishspread/core/rs_refusal.hpp
+++ b/packages/core/include/radishspread/core/rs_refusal.hpp
@@ -12,7 +12,7 @@
     unknown_route,   ///< The address has no route to a service.
     no_candidate,    ///< No backend server of the service is eligible.
     other_service,   ///< The agent serves another service.
-    stale_view,      ///< The balancer's routes are outdated.
+    stale_view,      ///< The routes are outdated; agents no longer send it.
     draining,        ///< The backend server or its agent is leaving.
     domain_out,      ///< The failure domain was taken out of service.
     warming_up,      ///< The cold backend server reached its rate limit.
--- a/packages/core/src/rs_packet_agent.cpp
+++ b/packages/core/src/rs_packet_agent.cpp
@@ -72,7 +72,7 @@
     agent_packet_kind kind, packet_flow const& flow) const {
     return {.kind = kind,
         .service = options_.service,
-        .route_version = newest_routes_,
+        .route_version = view_.route_version(),
         .in_progress = static_cast<std::uint16_t>(in_progress_ + queue_.size()),
         .slots = static_cast<std::uint16_t>(slots()),
         .flows = static_cast<std::uint16_t>(open_),
@@ -98,10 +98,8 @@
     instant now, agent_packet const& message) {
     if (message.service != options_.service)
         return refusal::other_service;
-    if (message.route_version < newest_routes_) {
-        // An older version of the routes is never used again.
-        if (view_.route_version() < newest_routes_)
-            return refusal::stale_view;
+    // Routes that this process has replaced are never used again.
+    if (message.route_version < view_.route_version()) {
         auto const service = view_.service_of(message.flow.service);
         if (service != options_.service)
             return service == 0 ? refusal::unknown_route
