Log version, limits and the cause of an end

A process that ended by itself left nothing in its log that says why: a fatal signal, a failed allocation, a fatal message of GLib and an error that nothing catches went unlogged, and faults of the settings only to standard error. The first line did not name the build or the limits.

New tests with the real binary, before:

fatal_signal_leaves_its_number_and_keeps_the_status last line: ..."event":1650,"text":"process started"... used_up_memory_of_a_running_process_leaves_a_line last line: ..."event":1650,"text":"process started"... faulty_settings_leave_a_line: no line on standard output start_logs_version_role_and_limits: no event 1680 within 5 s clean_stop_ends_with_its_status: event 1652 without a cause

Event 1680 is now the first line: version and commit of the build, role, limits. Handlers of the fatal signals, of std::terminate and of GLib's messages format event 1681 in place and write it with write(2), so it needs no memory; afterwards the default action runs and the status stays that of the fault. The handlers have a stack of their own. Criticals and warnings of libraries become event 1682; they may come from any thread, so the event loop takes them from a small queue. The exit statuses are documented, and the metrics give memory, descriptors, processor time and uptime, which are read only when asked for.

The five tests pass. In the test that takes all address space from a running process the line names the failed allocation.

--- a/packages/core/include/radishspread/core/rs_packet_events.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_events.hpp
@@ -55,7 +55,10 @@
 inline constexpr std::uint16_t malformed_datagram = 1655;
 inline constexpr std::uint16_t listen_failed = 1656;
 inline constexpr std::uint16_t lines_dropped = 1657;
-inline constexpr std::size_t count = 44;
+inline constexpr std::uint16_t limits_in_force = 1680;
+inline constexpr std::uint16_t last_words = 1681;
+inline constexpr std::uint16_t library_message = 1682;
+inline constexpr std::size_t count = 47;
 
 } // namespace packet_event
 
@@ -154,6 +157,12 @@
             "address cannot be opened"},
         {packet_event::lines_dropped, severity::info,
             "log lines left out; value: lines"},
+        {packet_event::limits_in_force, severity::info,
+            "version and limits in force"},
+        {packet_event::last_words, severity::error,
+            "process ends, the cause is printed; value: exit status or signal"},
+        {packet_event::library_message, severity::warning,
+            "message of a library"},
     }};
 
 /// Index of the event in `packet_events`; `packet_event::count` if it has none.
--- a/packages/runtime/include/radishspread/runtime/rs_packet_shell.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_shell.hpp
@@ -76,7 +76,10 @@
     [[nodiscard]] bool open_socket(socket_key key, endpoint at);
     void add_timers();
     void tick();
-    void begin_stop();
+    void log_limits();
+    void log_library_messages();
+    /// Starts the stop that the signal asks for; the second one ends at once.
+    void begin_stop(int number);
     void reload_settings();
 
     config::packet_settings settings_;
@@ -85,6 +88,7 @@
     instant now_;
     instant started_at_;
     std::optional<instant> stop_at_;
+    std::string stop_cause_;
     bool was_ready_ = false;
     std::uint64_t malformed_count_ = 0;
     instant next_malformed_report_at_;
--- a/packages/runtime/src/rs_line_writer.cpp
+++ b/packages/runtime/src/rs_line_writer.cpp
@@ -1,5 +1,7 @@
 #include <radishspread/runtime/rs_line_writer.hpp>
 
+#include <radishspread/runtime/rs_last_words.hpp>
+
 #include <algorithm>
 #include <cerrno>
 
@@ -35,6 +37,9 @@
         queued_.clear();
         return;
     }
+    if (n > 0)
+        output_has_partial_line =
+            queued_[static_cast<std::size_t>(n) - 1] != '\n';
     queued_.erase(0, static_cast<std::size_t>(n));
 }
 
--- a/packages/runtime/src/rs_packet_shell.cpp
+++ b/packages/runtime/src/rs_packet_shell.cpp
@@ -2,7 +2,9 @@
 
 #include <radishspread/config/internal/rs_read_text.hpp>
 #include <radishspread/core/rs_packet_events.hpp>
+#include <radishspread/runtime/rs_last_words.hpp>
 #include <radishspread/runtime/rs_metrics_server.hpp>
+#include <radishspread/runtime/rs_process_resources.hpp>
 #include <radishspread/wire/rs_agent_packet_codec.hpp>
 
 #include <algorithm>
@@ -35,6 +37,7 @@
         event_counters_.push_back(&metrics_.add_counter(
             "radishspread_events_total", "Events by number, see docs/events.md",
             "event=\"" + std::to_string(it.number) + '"'));
+    add_resource_gauges(metrics_);
 }
 
 void packet_shell::log(packet_log const& event) {
@@ -79,16 +82,21 @@
     hooks_ = std::move(role_hooks);
     std::signal(SIGPIPE, SIG_IGN);
     update_clock();
+    log_limits();
     log({.number = packet_event::process_started, .text = settings_.name});
     log_.flush();
     if (!open_addresses(readiness_path)) {
+        log({.number = packet_event::process_stopped,
+            .value = 1,
+            .text = "address cannot be opened"});
         log_.flush();
         return 1;
     }
     add_timers();
     tick();
     loop_.run();
-    log({.number = packet_event::process_stopped});
+    log_library_messages();
+    log({.number = packet_event::process_stopped, .text = stop_cause_});
     log_.flush();
     return 0;
 }
@@ -133,7 +141,7 @@
     loop_.every(tick_interval, [this] { tick(); });
     loop_.before_poll([this] { sockets_.flush(); });
     for (int const number : {SIGTERM, SIGINT})
-        loop_.on_signal(number, [this] { begin_stop(); });
+        loop_.on_signal(number, [this, number] { begin_stop(number); });
     loop_.on_signal(SIGHUP, [this] { reload_settings(); });
 }
 
@@ -145,13 +153,27 @@
         log({.number = packet_event::became_ready,
             .value = (now_ - started_at_) / std::chrono::milliseconds(1)});
     }
+    log_library_messages();
     log_.tick(now_);
     if (stop_at_ && now_ >= *stop_at_)
         loop_.quit();
 }
 
-void packet_shell::begin_stop() {
+void packet_shell::log_limits() {
+    auto const* role = settings_.role == config::role::agent ? " role=agent"
+                                                             : " role=balancer";
+    auto const text = version_and_limits() + role;
+    log({.number = packet_event::limits_in_force, .text = text});
+}
+
+void packet_shell::log_library_messages() {
+    for (auto const& it : take_library_messages())
+        log({.number = packet_event::library_message, .text = it});
+}
+
+void packet_shell::begin_stop(int number) {
     update_clock();
+    stop_cause_ = "stopped by signal " + std::to_string(number);
     if (stop_at_)
         return loop_.quit();
     stop_at_ = now_ + std::min(hooks_.shutdown_delay, settings_.stop_deadline);
