Let a balancer look for claimed routes at a bounded rate

What callers saw: openings that an agent had declined with stale_view were held until their callers gave up. Each message with a version that no store ever had cost a read and a line of the log, thousands in a few seconds.

Cause: packet_balancer read from the sender of every message that named newer routes, and held an opening until a read, whatever that read returned.

Change: the looks are spaced by internal::version_claims, as at the agent. An opening that an agent of an earlier release declines with stale_view waits 100 ms at most (view_wait), and then goes to another agent; it doesn't wait at all if the reply names no newer version.

--- a/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
@@ -228,12 +228,7 @@
     agent_packet const& message, flow_packet const* packet, Sink& sink) {
     last_event_at_ = now;
     apply_routes_to_searches(now);
-    if (message.route_version > view_.route_version()) {
-        sink.log({.number = packet_event::view_outdated,
-            .peer = from,
-            .version = message.route_version});
-        sink.catch_up(from);
-    }
+    check_claim(now, from, message.route_version, sink);
     if (message.kind == agent_packet_kind::held) {
         on_held(now, from, message, sink);
     } else if (message.kind == agent_packet_kind::queued) {
@@ -250,6 +245,18 @@
     }
 }
 
+template <packet_sink Sink>
+void packet_balancer::check_claim(
+    instant now, endpoint from, std::uint64_t version, Sink& sink) {
+    if (!claims_.needs_look(now, version, view_.route_version()))
+        return;
+    sink.log({.number = packet_event::view_outdated,
+        .peer = from,
+        .version = version,
+        .value = static_cast<std::int64_t>(claims_.fruitless_looks())});
+    sink.catch_up(from);
+}
+
 template <packet_sink Sink>
 void packet_balancer::on_held(
     instant now, endpoint from, agent_packet const& message, Sink& sink) {
@@ -294,11 +301,13 @@
     }
     if (pending.agent != from) // Another agent has been tried since.
         return;
-    if (message.why == refusal::stale_view) {
+    if (message.why == refusal::stale_view &&
+        message.route_version > view_.route_version()) {
         // The agent has newer routes. The opening waits until this process has
         // read them too, instead of being refused because of an outdated view.
+        // Nothing shows that such routes exist, so the wait is short.
         pending.awaits_view = true;
-        pending.reply_due = instant::max();
+        pending.reply_due = now + options_.view_wait;
         return;
     }
     if (!place_opening(now, message.flow, pending, sink))
@@ -308,6 +317,8 @@
 template <packet_sink Sink>
 bool packet_balancer::on_reply_timeout(
     instant now, packet_flow const& flow, opening& pending, Sink& sink) {
+    if (std::exchange(pending.awaits_view, false))
+        return place_opening(now, flow, pending, sink);
     if (pending.is_queued)
         pending.leave_queue();
     pending.has_unresponsive_agent = true;
--- a/packages/core/include/radishspread/core/rs_packet_balancer.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_balancer.hpp
@@ -10,6 +10,7 @@
 #include <radishspread/core/internal/rs_placement.hpp>
 #include <radishspread/core/internal/rs_reassigned_lists.hpp>
 #include <radishspread/core/internal/rs_retry_tokens.hpp>
+#include <radishspread/core/internal/rs_version_claims.hpp>
 #include <radishspread/core/rs_fleet_view.hpp>
 #include <radishspread/core/rs_flow_list.hpp>
 #include <radishspread/core/rs_flow_packet.hpp>
@@ -90,6 +91,11 @@
         std::uint32_t only_service = 0;
     };
 
+    /// Looks for newer routes if a message names a version that the view does
+    /// not have.
+    template <packet_sink Sink>
+    void check_claim(
+        instant now, endpoint from, std::uint64_t version, Sink& sink);
     template <packet_sink Sink>
     void on_open(instant now, flow_packet const& packet, Sink& sink);
     template <packet_sink Sink>
@@ -271,6 +277,7 @@
     bool is_proven_ = false;
     bool is_isolated_ = false;   ///< No agent can be reached; as last logged.
     std::string checked_member_; ///< Member whose agent was checked last.
+    internal::version_claims claims_; ///< By messages, of the routes.
     instant last_event_at_;
     instant next_sweep_at_;
 };
--- a/packages/core/include/radishspread/core/rs_packet_balancer_options.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_balancer_options.hpp
@@ -29,6 +29,9 @@
     /// Time between attempts to retry an opening without a reply while no retry
     /// token is available.
     duration retry_interval = std::chrono::milliseconds(50);
+    /// Time for which an opening that an agent has declined because of newer
+    /// routes waits for them before another agent is tried.
+    duration view_wait = std::chrono::milliseconds(100);
     /// Time for which an agent that does not reply is suspect.
     duration suspect_time = std::chrono::seconds(2);
     /// Time for which a leaving agent is suspect; covers its restart.
--- a/packages/core/tests/rs_packet_balancer_test.cpp
+++ b/packages/core/tests/rs_packet_balancer_test.cpp
@@ -135,6 +135,47 @@
     CHECK_EQUAL(6, sink.sent[0].message.route_version);
 }
 
+// A version that no store ever had was never read, so the openings declined for
+// it waited until their callers gave up.
+TEST(packet_balancer, opening_does_not_wait_for_a_version_that_is_never_read) {
+    auto const first = open(flow_of(1), 0);
+    reply_declined(first, flow_of(1), refusal::stale_view, 1, forged_version);
+    sink.clear();
+    for (int ms = 2; ms <= 130; ++ms)
+        core.tick(at(ms), sink);
+    CHECK_EQUAL(1, sink.count(agent_packet_kind::open));
+    CHECK(sink.sent[0].to != first);
+    CHECK(sink.resets.empty());
+}
+
+// An agent that names no newer version has nothing that could be waited for.
+TEST(packet_balancer, opening_declined_without_a_newer_version_moves_on) {
+    auto const first = open(flow_of(1), 0);
+    sink.clear();
+    reply_declined(first, flow_of(1), refusal::stale_view, 1, 5);
+    CHECK_EQUAL(1, sink.count(agent_packet_kind::open));
+    CHECK(sink.sent[0].to != first);
+}
+
+// Each message with a version that no store ever had cost a read and a log
+// line, thousands in a few seconds.
+TEST(packet_balancer, looks_for_forged_versions_are_rare_and_follow_an_edit) {
+    for (int ms = 0; ms < 10'000; ++ms)
+        deliver_reply(agent_address(1),
+            {.kind = agent_packet_kind::queued,
+                .service = test_service,
+                .route_version = forged_version},
+            ms);
+    CHECK(sink.looks <= 15);
+    auto const looks = sink.looks;
+    core.view().apply(at(10'000), routes_of(6, 9));
+    reply_held(agent_address(1), flow_of(1), 10'001);
+    CHECK_EQUAL(looks, sink.looks);
+    reply_declined(
+        agent_address(1), flow_of(1), refusal::overloaded, 10'002, 7);
+    CHECK_EQUAL(looks + 1, sink.looks);
+}
+
 // A balancer that dropped openings received before its first read delayed them
 // by 200 ms, until the callers' retransmissions.
 TEST(packet_balancer, opening_before_the_first_read_is_placed_after_it) {
--- a/packages/core/tests/rs_packet_fleet.hpp
+++ b/packages/core/tests/rs_packet_fleet.hpp
@@ -105,6 +105,23 @@
         send(packet, through);
     }
 
+    /// Sends every process a message that names a version of the routes, in
+    /// the name of a process of the other role.
+    void claim_version(std::uint64_t version) {
+        for (auto const& to : balancers_)
+            network_.push_back({.due = now(),
+                .from = agents_.begin()->second->address,
+                .to = to->address,
+                .message = {.kind = agent_packet_kind::queued,
+                    .route_version = version}});
+        for (auto const& [n, to] : agents_)
+            network_.push_back({.due = now(),
+                .from = balancers_.front()->address,
+                .to = to->address,
+                .message = {.kind = agent_packet_kind::list,
+                    .route_version = version}});
+    }
+
     /// Lets `ms` milliseconds pass.
     void run_for(int ms) {
         for (int n = 0; n != ms; ++n)
@@ -130,6 +147,8 @@
     [[nodiscard]] std::size_t foreign_packets(std::uint32_t n) const {
         return agents_.at(n)->foreign_packets;
     }
+    /// Looks at another process for newer routes.
+    [[nodiscard]] std::size_t looks() const { return looks_; }
     /// Messages that the balancers have sent to agents.
     [[nodiscard]] std::size_t messages() const { return messages_; }
 
@@ -169,12 +188,16 @@
         }
         void refresh_view() {}
         void refresh_members() { read_started = fleet.now(); }
-        void catch_up(endpoint) {}
+        void catch_up(endpoint) {
+            ++fleet.looks_;
+            look_started = fleet.now();
+        }
         void log(packet_log const&) {}
 
         packet_fleet& fleet;
         endpoint address;
         instant read_started; ///< Default: no read in progress.
+        instant look_started; ///< Default: no look at a peer in progress.
     };
 
     struct balancer_process : process {
@@ -287,10 +310,17 @@
                 auto const started = std::exchange(it->read_started, {});
                 it->core->view_confirmed(now(), started, *it);
             }
+            if (ends_look(*it)) {
+                read_configuration(*it);
+                it->core->view_confirmed(now(), {}, *it);
+            }
             it->core->tick(now(), *it);
         }
-        for (auto const& [n, it] : agents_)
+        for (auto const& [n, it] : agents_) {
+            if (ends_look(*it))
+                read_configuration(*it);
             it->core->tick(now(), *it);
+        }
         while (!network_.empty() && network_.front().due <= now()) {
             auto const next = std::move(network_.front());
             network_.pop_front();
@@ -301,6 +331,15 @@
             serve(n, packet);
     }
 
+    /// True if the process's look at a peer ends now.
+    [[nodiscard]] bool ends_look(process& it) const {
+        if (it.look_started == instant{} ||
+            now() - it.look_started < std::chrono::milliseconds(read_time_ms))
+            return false;
+        it.look_started = {};
+        return true;
+    }
+
     void deliver(datagram const& it) {
         auto message = it.message;
         message.packet = it.bytes;
@@ -360,6 +399,7 @@
     std::uint64_t version_ = 0;
     std::uint32_t sequence_ = 0;
     std::size_t messages_ = 0;
+    std::size_t looks_ = 0;
     std::map<std::string, fleet_change> items_;
     std::vector<std::unique_ptr<balancer_process>> balancers_;
     std::map<std::uint32_t, std::unique_ptr<agent_process>> agents_;
