Pace the calls of a follower of items whatever the other end replies

What callers saw: with a store whose watch returned at once without events, or a page without items that says there is more, each process called it some 7,000 times a second and used a whole core.

Cause: item_follower made the next call at once after a reply that brought nothing. An empty page with more to follow even counted as a complete read, which removed all items. Requested reads and looks at peers had no limit.

A read whose pages do not go on, or are more than 1,024, is given up (event 1660) and removes nothing.

Evidence before the change (radishspread_core_test -g item_follower), 10 s: watch_that_returns_at_once_is_called_at_a_bounded_rate: CHECK(calls <= 40) failed history_that_is_always_lost_is_read_at_a_bounded_rate: CHECK(calls <= 80) failed watch_that_repeats_an_event_is_called_at_a_bounded_rate: CHECK(calls <= 40) failed page_without_items_that_has_more_is_no_complete_read: CHECK(calls <= 40) failed pages_that_do_not_go_on_are_read_at_a_bounded_rate: CHECK(calls <= 60) failed requested_reads_are_made_at_a_bounded_rate: CHECK(calls <= 32 + 10 * 20) failed pages_without_end_are_read_at_a_bounded_rate was stopped after ten minutes. change_after_a_quiet_time_is_applied_without_delay and normal_rate_returns_with_the_first_change passed before and after: the bound costs an honest store nothing.

--- a/packages/core/include/radishspread/core/rs_item_follower.hpp
+++ b/packages/core/include/radishspread/core/rs_item_follower.hpp
@@ -1,12 +1,14 @@
 #ifndef RADISHSPREAD_CORE_RS_ITEM_FOLLOWER_HPP
 #define RADISHSPREAD_CORE_RS_ITEM_FOLLOWER_HPP
 
+#include <radishspread/core/internal/rs_call_pace.hpp>
 #include <radishspread/core/internal/rs_jitter.hpp>
 #include <radishspread/core/rs_endpoint.hpp>
 #include <radishspread/core/rs_fleet_view.hpp>
 #include <radishspread/core/rs_item_page.hpp>
 #include <radishspread/core/rs_time.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -88,6 +90,10 @@
     [[nodiscard]] instant due() const { return due_; }
     [[nodiscard]] bool is_outstanding() const { return is_outstanding_; }
     [[nodiscard]] unsigned failures() const { return failures_; }
+    /// Reads given up because their pages did not go on or had no end.
+    [[nodiscard]] std::uint64_t given_up_reads() const {
+        return given_up_reads_;
+    }
     /// Start of the last complete read from the configuration service; default
     /// if none has ended.
     [[nodiscard]] instant read_started() const {
@@ -101,14 +107,23 @@
     [[nodiscard]] bool is_complete() const { return is_complete_; }
 
     static constexpr duration restart_interval = std::chrono::milliseconds(100);
+    /// Limit of the pages of a read.
+    static constexpr std::size_t max_pages = 1024;
 
 private:
     bool handle_read(instant now, item_page const& page, fleet_view& view);
     bool handle_peer(instant now, item_page const& page, fleet_view& view);
+    void handle_watch(instant now, item_page const& page, fleet_view& view);
+    /// Drops a read whose pages do not go on or have no end; returns false.
+    bool give_up_read(instant now);
     void begin_read(instant now);
 
     item_follower_options options_;
     internal::jitter random_;
+    internal::call_pace pace_;
+    instant call_started_at_; ///< Of the last call.
+    std::size_t pages_ = 0;   ///< Of the read so far.
+    std::uint64_t given_up_reads_ = 0;
     bool is_watching_ = false; ///< The next or outstanding call is a watch.
     bool is_outstanding_ = false;
     bool is_complete_ = false;
--- a/packages/core/include/radishspread/core/rs_packet_events.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_events.hpp
@@ -58,7 +58,8 @@
 inline constexpr std::uint16_t limits_in_force = 1680;
 inline constexpr std::uint16_t last_words = 1681;
 inline constexpr std::uint16_t library_message = 1682;
-inline constexpr std::size_t count = 47;
+inline constexpr std::uint16_t read_given_up = 1660;
+inline constexpr std::size_t count = 48;
 
 } // namespace packet_event
 
@@ -163,6 +164,9 @@
             "process ends, the cause is printed; value: exit status or signal"},
         {packet_event::library_message, severity::warning,
             "message of a library"},
+        {packet_event::read_given_up, severity::warning,
+            "read of the configuration service given up; value: items of the "
+            "last page"},
     }};
 
 /// Index of the event in `packet_events`; `packet_event::count` if it has none.
--- a/packages/core/src/rs_item_follower.cpp
+++ b/packages/core/src/rs_item_follower.cpp
@@ -14,7 +14,12 @@
 std::optional<item_call> item_follower::take_call(instant now) {
     if (is_outstanding_ || now < due_)
         return std::nullopt;
+    if (!pace_.try_take(now)) {
+        due_ = pace_.next_at();
+        return std::nullopt;
+    }
     is_outstanding_ = true;
+    call_started_at_ = now;
     // While the service does not reply, every other call goes to a peer, which
     // may have received newer items in the meantime.
     peer_ = std::exchange(newer_peer_, {});
@@ -47,11 +52,28 @@
     view.set_reachable(now, true);
     if (!is_watching_)
         return handle_read(now, page, view);
+    handle_watch(now, page, view);
+    return true;
+}
+
+// A watch that was cut and one whose events are known end early too, so a
+// single such reply delays nothing.
+void item_follower::handle_watch(
+    instant now, item_page const& page, fleet_view& view) {
     for (auto const& it : page.changes)
         view.apply(now, it);
+    bool const is_news = !page.changes.empty() && page.as_of > after_;
+    bool const is_quiet =
+        page.changes.empty() && now - call_started_at_ >= options_.wait / 2;
     after_ = std::max(after_, page.as_of);
-    due_ = page.changes.empty() ? now : now + options_.collect_interval;
-    return true;
+    auto const delay =
+        page.changes.empty() ? duration{0} : options_.collect_interval;
+    if (is_news || is_quiet) {
+        pace_.reply_was_useful();
+        due_ = now + delay;
+    } else {
+        due_ = now + std::max(delay, pace_.delay_after_useless_reply());
+    }
 }
 
 // A peer with an outdated view cannot revert items, because only higher
@@ -80,14 +102,21 @@
 // are seen by the watch, which begins at the revision of the first page.
 bool item_follower::handle_read(
     instant now, item_page const& page, fleet_view& view) {
-    if (after_name_.empty())
+    if (after_name_.empty()) {
         read_from_ = page.as_of;
+        pages_ = 0;
+    }
     for (auto const& it : page.changes) {
         view.apply(now, it);
         names_.insert(it.name);
     }
     due_ = now;
-    if (page.has_more && !page.changes.empty()) {
+    if (page.has_more) {
+        bool const goes_on = !page.changes.empty() &&
+                             page.changes.back().name > after_name_ &&
+                             ++pages_ < max_pages;
+        if (!goes_on)
+            return give_up_read(now);
         after_name_ = page.changes.back().name;
         return false;
     }
@@ -103,6 +132,14 @@
     return true;
 }
 
+// The items of an incomplete read say nothing about the others.
+bool item_follower::give_up_read(instant now) {
+    ++given_up_reads_;
+    begin_read(now);
+    due_ = now + pace_.delay_after_useless_reply();
+    return false;
+}
+
 void item_follower::begin_read(instant now) {
     names_.clear();
     after_name_.clear();
@@ -114,6 +151,7 @@
     last_reply_at_ = now;
     is_watching_ = false;
     begin_read(now);
+    due_ = now + pace_.delay_after_useless_reply();
 }
 
 void item_follower::handle_failure(
--- a/packages/core/tests/rs_item_follower_test.cpp
+++ b/packages/core/tests/rs_item_follower_test.cpp
@@ -29,6 +29,23 @@
         core.handle_page(at(ms), page({announcement_of(1, 5)}, 10), view);
     }
 
+    /// Lets the service reply to each call in the same millisecond; returns the
+    /// number of calls.
+    template <class Reply> int count_calls(int from, int to, Reply&& reply) {
+        constexpr int calls_per_ms = 10;
+        int calls = 0;
+        for (int ms = from; ms < to; ++ms) {
+            for (int n = 0; n != calls_per_ms; ++n) {
+                auto const call = core.take_call(at(ms));
+                if (!call)
+                    break;
+                ++calls;
+                reply(ms, *call);
+            }
+        }
+        return calls;
+    }
+
     std::size_t members() {
         return view.members_of(test_service).size();
     }
@@ -182,6 +199,113 @@
     CHECK(slow.as_of() + 5 >= changed);
 }
 
+// Every process called such a service some 7,000 times a second and used a
+// whole core.
+TEST(item_follower, watch_that_returns_at_once_is_called_at_a_bounded_rate) {
+    complete(0);
+    auto const calls = count_calls(0, 10'000, [&](int ms, item_call const&) {
+        core.handle_page(at(ms), page({}, 10), view);
+    });
+    CHECK(calls <= 40);
+}
+
+// The watch may begin at a revision that the service no longer has, whatever a
+// read returns.
+TEST(item_follower, history_that_is_always_lost_is_read_at_a_bounded_rate) {
+    auto const calls = count_calls(0, 10'000, [&](int ms, item_call const& it) {
+        if (it.is_watch)
+            core.handle_history_lost(at(ms));
+        else
+            core.handle_page(at(ms), page({announcement_of(1, 5)}, 10), view);
+    });
+    CHECK(calls <= 80);
+}
+
+TEST(item_follower, watch_that_repeats_an_event_is_called_at_a_bounded_rate) {
+    complete(0);
+    core.set_collect_interval(duration{0});
+    auto const calls = count_calls(0, 10'000, [&](int ms, item_call const&) {
+        core.handle_page(at(ms), page({announcement_of(1, 5)}, 10), view);
+    });
+    CHECK(calls <= 40);
+}
+
+// Such a read never ends. When an empty page ended it, all items were removed.
+TEST(item_follower, page_without_items_that_has_more_is_no_complete_read) {
+    complete(0);
+    core.handle_history_lost(at(0));
+    auto const calls = count_calls(0, 10'000, [&](int ms, item_call const&) {
+        auto empty = page({}, 20);
+        empty.has_more = true;
+        core.handle_page(at(ms), empty, view);
+    });
+    CHECK(calls <= 40);
+    CHECK(!view.members_of(test_service)[0]->is_removed);
+}
+
+TEST(item_follower, pages_that_do_not_go_on_are_read_at_a_bounded_rate) {
+    auto const calls = count_calls(0, 10'000, [&](int ms, item_call const&) {
+        auto same = page({announcement_of(1, 5)}, 20);
+        same.has_more = true;
+        core.handle_page(at(ms), same, view);
+    });
+    CHECK(calls <= 60);
+    CHECK(!core.is_complete());
+}
+
+// Each page has a name after that of the page before.
+TEST(item_follower, pages_without_end_are_read_at_a_bounded_rate) {
+    std::uint32_t n = 1'000'000;
+    auto const calls = count_calls(0, 10'000, [&](int ms, item_call const&) {
+        auto next = page({announcement_of(++n, 5)}, 20);
+        next.has_more = true;
+        core.handle_page(at(ms), next, view);
+    });
+    CHECK(calls <= 32 + 10 * 20);
+}
+
+TEST(item_follower, requested_reads_are_made_at_a_bounded_rate) {
+    complete(0);
+    auto const calls = count_calls(0, 10'000, [&](int ms, item_call const&) {
+        core.handle_page(at(ms), page({announcement_of(1, 5)}, 10), view);
+        core.reread(at(ms));
+        core.catch_up(at(ms), peer_two);
+    });
+    CHECK(calls <= 32 + 10 * 20);
+}
+
+// A watch that waits as requested costs no more calls, and a change is seen as
+// early, as without the bound.
+TEST(item_follower, change_after_a_quiet_time_is_applied_without_delay) {
+    complete(0);
+    int quiet_watches = 0;
+    int ms = 0;
+    for (; ms < 60'000; ms += 2500, ++quiet_watches) {
+        CHECK(core.take_call(at(ms)).has_value());
+        core.handle_page(at(ms + 2500), page({}, 10), view);
+    }
+    CHECK_EQUAL(24, quiet_watches);
+    CHECK(core.take_call(at(ms)).has_value());
+    core.handle_page(at(ms + 1), page({announcement_of(2, 11)}, 11), view);
+    CHECK_EQUAL(2, members());
+    CHECK(core.take_call(at(ms + 101))->is_watch);
+}
+
+TEST(item_follower, normal_rate_returns_with_the_first_change) {
+    complete(0);
+    auto as_of = revision{10};
+    count_calls(0, 5000, [&](int ms, item_call const&) {
+        core.handle_page(at(ms), page({}, as_of), view);
+    });
+    CHECK(core.take_call(at(6000)).has_value());
+    for (int ms = 6000; ms < 7000; ms += 100) {
+        ++as_of;
+        core.handle_page(
+            at(ms), page({announcement_of(2, as_of)}, as_of), view);
+        CHECK(core.take_call(at(ms + 100)).has_value());
+    }
+}
+
 // A search that is rejected by all agents needs another read. When it replaced
 // the watch, each such read cost two calls.
 TEST(item_follower, follower_on_demand_reads_once_per_request) {
--- a/packages/runtime/include/radishspread/runtime/rs_item_source.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_item_source.hpp
@@ -118,7 +118,11 @@
                          std::chrono::milliseconds(1)});
         log_ignored_items(page);
         auto const previous_read_at = follower_.read_started();
+        auto const given_up_reads = follower_.given_up_reads();
         follower_.handle_page(now, page, view_);
+        if (follower_.given_up_reads() != given_up_reads)
+            log_({.number = packet_event::read_given_up,
+                .value = static_cast<std::int64_t>(page.changes.size())});
         on_page_(page,
             follower_.read_started() != previous_read_at || is_peer_call_);
     }
