Compare announcements with one address within their service only

Cause: of several entries with one address, one of any service was taken to hold, that with the later start time. Balancers passed over the others, and an agent took it for its own announcement (slots, warm-up, draining).

Change: find() compares the entries of one service, and the one written last holds. An entry does not change after its backend server has ended, and only then can another one take the address, so the revision tells their order and the start time does not have to. Whether an address belongs to another service by now, its agent knows and declines. The balancer's look-up by host (cold, slots, domain) has the same rule in place of the first entry by name.

The test address_of_two_announcements_belongs_to_the_later_start is replaced by address_of_two_announcements_belongs_to_the_later_one, which asks for the same with the later entry's start time both above and below the other's. address_belongs_to_the_announcement_that_is_left was green before, too.

--- a/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
@@ -264,7 +264,7 @@
 
 template <packet_sink Sink>
 void packet_agent::view_changed(instant now, Sink& sink) {
-    auto const* self = view_.find(options_.backend);
+    auto const* self = find_announced();
     apply_announcement(self);
     int state = 0;
     if (self != nullptr)
--- a/packages/core/include/radishspread/core/rs_fleet_view.hpp
+++ b/packages/core/include/radishspread/core/rs_fleet_view.hpp
@@ -29,6 +29,7 @@
         bool is_draining = false;
         instant cold_until;
         std::uint64_t start_unix_ms = 0;
+        revision announced_in = 0; ///< Revision of the announcement.
         bool is_removed = false;
         instant removal_effective_at; ///< May be in the future.
     };
@@ -77,10 +78,15 @@
     [[nodiscard]] std::span<member const* const> members() const {
         return all_members_;
     }
-    /// Member at this address, or null; of several, one that is not removed,
-    /// then the one started last.
-    [[nodiscard]] member const* find(endpoint backend) const;
-    /// Members whose backend servers run on the host.
+    /// The service's member at this address, or null; of several, one that is
+    /// not removed, then the one announced last.
+    [[nodiscard]] member const* find(
+        endpoint backend, std::uint32_t service) const;
+    /// The service's member on this host, chosen as by `find` if there are
+    /// several.
+    [[nodiscard]] member const* find_at(
+        std::uint32_t host, std::uint32_t service) const;
+    /// Members of all services whose backend servers run on the host.
     [[nodiscard]] std::span<member const* const> members_at(
         std::uint32_t host) const;
     /// The member whose name follows `name`, or the first one; null if there is
@@ -104,8 +110,8 @@
 
 private:
     void apply_routes(std::string const& name, route_set const& value);
-    void apply_member(
-        instant now, std::string const& name, backend_announcement const& it);
+    void apply_member(instant now, fleet_change const& change,
+        backend_announcement const& it);
     void remove(instant now, std::string const& name);
     void index_members();
     [[nodiscard]] route_set routes() const;
--- a/packages/core/include/radishspread/core/rs_packet_agent.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_agent.hpp
@@ -127,6 +127,10 @@
     [[nodiscard]] refusal check_admission(
         instant now, agent_packet const& message);
     [[nodiscard]] bool is_cold(instant now, agent_packet const& message) const;
+    /// The announcement of the own backend server, or null.
+    [[nodiscard]] fleet_view::member const* find_announced() const {
+        return view_.find(options_.backend, options_.service);
+    }
     [[nodiscard]] std::size_t slots() const;
     /// Limit of requests in progress below which queued openings are admitted.
     [[nodiscard]] std::size_t queue_limit() const;
--- a/packages/core/include/radishspread/core/rs_packet_balancer.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_balancer.hpp
@@ -240,7 +240,8 @@
     /// was queried first at `queried_at`.
     [[nodiscard]] bool needs_no_reply_of(instant now,
         fleet_view::member const& member, instant queried_at) const;
-    [[nodiscard]] fleet_view::member const* find_member(endpoint agent) const;
+    [[nodiscard]] fleet_view::member const* find_member(
+        endpoint agent, std::uint32_t service) const;
     /// True if the flow's route still exists.
     [[nodiscard]] bool is_allowed(
         internal::cached_flow& cached, packet_flow const& flow) const;
--- a/packages/core/src/rs_fleet_view.cpp
+++ b/packages/core/src/rs_fleet_view.cpp
@@ -1,9 +1,27 @@
 #include <radishspread/core/rs_fleet_view.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace radishspread {
 
+namespace {
+
+// An announcement does not change after its backend server has ended, and only
+// then can another one take the address. Start times would not tell, since the
+// clock may step between two starts.
+fleet_view::member const* select_current(
+    fleet_view::member const* a, fleet_view::member const* b) {
+    if (a == nullptr)
+        return b;
+    auto const rank = [](fleet_view::member const& it) {
+        return std::pair(!it.is_removed, it.announced_in);
+    };
+    return rank(*a) < rank(*b) ? b : a;
+}
+
+} // namespace
+
 bool fleet_view::is_newer(fleet_change const& change) const {
     auto const it = revisions_.find(change.name);
     return it == revisions_.end() || change.revision > it->second.number;
@@ -20,7 +38,7 @@
     if (routes != nullptr) {
         apply_routes(change.name, *routes);
     } else if (backend != nullptr) {
-        apply_member(now, change.name, *backend);
+        apply_member(now, change, *backend);
     } else if (domain != nullptr) {
         domains_out_[change.name] = domain->domain;
     } else {
@@ -44,8 +62,8 @@
 }
 
 void fleet_view::apply_member(
-    instant now, std::string const& name, backend_announcement const& it) {
-    auto& entry = members_[name];
+    instant now, fleet_change const& change, backend_announcement const& it) {
+    auto& entry = members_[change.name];
     entry = {.service = it.service,
         .domain = it.domain,
         .backend = it.backend,
@@ -53,7 +71,8 @@
         .is_draining = it.is_draining,
         .cold_until =
             it.warmup_left > duration{0} ? now + it.warmup_left : instant{},
-        .start_unix_ms = it.start_unix_ms};
+        .start_unix_ms = it.start_unix_ms,
+        .announced_in = change.revision};
     index_members();
 }
 
@@ -202,16 +221,21 @@
     return it->second;
 }
 
-fleet_view::member const* fleet_view::find(endpoint backend) const {
+fleet_view::member const* fleet_view::find(
+    endpoint backend, std::uint32_t service) const {
     member const* found = nullptr;
-    for (auto const* it : members_at(backend.address)) {
-        if (it->backend != backend)
-            continue;
-        if (found == nullptr || (found->is_removed && !it->is_removed) ||
-            (found->is_removed == it->is_removed &&
-                it->start_unix_ms > found->start_unix_ms))
-            found = it;
-    }
+    for (auto const* it : members_at(backend.address))
+        if (it->backend == backend && it->service == service)
+            found = select_current(found, it);
+    return found;
+}
+
+fleet_view::member const* fleet_view::find_at(
+    std::uint32_t host, std::uint32_t service) const {
+    member const* found = nullptr;
+    for (auto const* it : members_at(host))
+        if (it->service == service)
+            found = select_current(found, it);
     return found;
 }
 
--- a/packages/core/src/rs_packet_agent.cpp
+++ b/packages/core/src/rs_packet_agent.cpp
@@ -38,7 +38,7 @@
       service_time_(initial_service_time) {}
 
 std::size_t packet_agent::slots() const {
-    auto const* self = view_.find(options_.backend);
+    auto const* self = find_announced();
     return self == nullptr ? reported_slots_ : self->slots;
 }
 
@@ -82,7 +82,7 @@
 bool packet_agent::is_cold(instant now, agent_packet const& message) const {
     if (message.is_cold)
         return true;
-    auto const* self = view_.find(options_.backend);
+    auto const* self = find_announced();
     if (self == nullptr)
         return true;
     auto const restored_at = view_.restored_at(options_.domain);
@@ -107,7 +107,7 @@
     }
     if (view_.is_out(options_.domain))
         return refusal::domain_out;
-    auto const* self = view_.find(options_.backend);
+    auto const* self = find_announced();
     // A removed announcement is no reason to decline: it may have expired, and
     // a backend server that no longer exists is found to be unresponsive.
     if (self != nullptr && self->is_draining)
--- a/packages/core/src/rs_packet_balancer.cpp
+++ b/packages/core/src/rs_packet_balancer.cpp
@@ -16,11 +16,10 @@
     return {.address = member.backend.address, .port = options_.agent_port};
 }
 
-fleet_view::member const* packet_balancer::find_member(endpoint agent) const {
-    for (auto const* member : view_.members_at(agent.address))
-        if (!member->is_removed)
-            return member;
-    return nullptr;
+fleet_view::member const* packet_balancer::find_member(
+    endpoint agent, std::uint32_t service) const {
+    auto const* found = view_.find_at(agent.address, service);
+    return found != nullptr && !found->is_removed ? found : nullptr;
 }
 
 void packet_balancer::mark_list_requested(
@@ -55,7 +54,7 @@
 // sending the packet there first finds most holders with few packets.
 bool packet_balancer::may_probe(
     instant now, endpoint agent, internal::flow_search const& search) const {
-    auto const* member = find_member(agent);
+    auto const* member = find_member(agent, search.service);
     bool const is_local =
         member != nullptr && member->domain == options_.domain;
     return is_local || now - search.started_at >= options_.local_probe_period;
@@ -154,10 +153,10 @@
         bool const was_tried =
             std::find(pending.tried.begin(), pending.tried.end(), agent) !=
             pending.tried.end();
-        // An address in two announcements belongs to the backend server that
-        // started later.
+        // Whether the address belongs to another service by now, its agent
+        // knows.
         if (was_tried || !view_.is_eligible(now, *member) ||
-            view_.find(member->backend) != member)
+            view_.find(member->backend, member->service) != member)
             continue;
         list.push_back({.agent = agent,
             .is_local = member->domain == options_.domain,
@@ -190,7 +189,7 @@
 agent_packet packet_balancer::make_open(instant now, packet_flow const& flow,
     std::uint32_t service, endpoint agent,
     std::span<std::byte const> bytes) const {
-    auto const* member = find_member(agent);
+    auto const* member = find_member(agent, service);
     auto const rate =
         view_.warmup_of(service).openings_per_second * cold_rate_units;
     return {.kind = agent_packet_kind::open,
--- a/packages/core/tests/rs_fleet_view_test.cpp
+++ b/packages/core/tests/rs_fleet_view_test.cpp
@@ -4,6 +4,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <vector>
+
 using namespace radishspread;
 using namespace radishspread::test;
 
@@ -15,6 +17,23 @@
             .revision = at_revision,
             .content = no_content{}};
     }
+
+    /// Another announcement with the address of the first backend server.
+    fleet_change second_announcement(revision at_revision) {
+        auto change = announcement_of(1, at_revision);
+        change.name = "backend/0"; // Comes first in the order of the names.
+        std::get<backend_announcement>(change.content).slots = 7;
+        return change;
+    }
+
+    /// The first backend server's member after the changes in this order.
+    fleet_view::member view_of(std::vector<fleet_change> const& changes) {
+        fleet_view read;
+        for (auto const& it : changes)
+            read.apply(at(0), it);
+        auto const* found = read.find(backend_address(1), test_service);
+        return found == nullptr ? fleet_view::member{} : *found;
+    }
 };
 
 TEST(fleet_view, lower_revision_changes_nothing) {
@@ -45,14 +64,43 @@
     CHECK(view.members_of(test_service).empty());
 }
 
-// Addresses are reused, so the backend server started last counts.
-TEST(fleet_view, address_of_two_announcements_belongs_to_the_later_start) {
-    auto second = announcement_of(1, 2);
-    second.name = "backend/other";
-    std::get<backend_announcement>(second.content).start_unix_ms = 50;
-    view.apply(at(0), announcement_of(1, 1));
-    view.apply(at(0), second);
-    CHECK_EQUAL(50, view.find(backend_address(1))->start_unix_ms);
+// Addresses are reused, so the backend server announced last counts. Clocks
+// step, so its start may seem to be the earlier one.
+TEST(fleet_view, address_of_two_announcements_belongs_to_the_later_one) {
+    for (std::uint64_t const start_unix_ms : {50, 0}) {
+        auto second = second_announcement(2);
+        std::get<backend_announcement>(second.content).start_unix_ms =
+            start_unix_ms;
+        CHECK_EQUAL(start_unix_ms,
+            view_of({announcement_of(1, 1), second}).start_unix_ms);
+        CHECK_EQUAL(start_unix_ms,
+            view_of({second, announcement_of(1, 1)}).start_unix_ms);
+    }
+}
+
+// A process that had seen a removal and one that had not chose different
+// backend servers.
+TEST(fleet_view, address_belongs_to_the_announcement_that_is_left) {
+    auto const older = announcement_of(1, 1);
+    auto const later = second_announcement(2);
+    auto const older_lapsed = removal(1, 3);
+    fleet_change const later_lapsed{.name = later.name, .revision = 3};
+    CHECK_EQUAL(7, view_of({older, later, older_lapsed}).slots);
+    CHECK_EQUAL(7, view_of({later, older_lapsed, older}).slots);
+    CHECK_EQUAL(2, view_of({older, later, later_lapsed}).slots);
+    CHECK_EQUAL(2, view_of({later_lapsed, older}).slots);
+}
+
+// No request was served while another writer had entries with the addresses of
+// the backend servers.
+TEST(fleet_view, announcement_of_another_service_hides_none) {
+    auto other = second_announcement(2);
+    auto& content = std::get<backend_announcement>(other.content);
+    content.service = test_service + 1;
+    content.start_unix_ms = 50;
+    content.is_draining = true;
+    CHECK_EQUAL(2, view_of({announcement_of(1, 1), other}).slots);
+    CHECK_EQUAL(2, view_of({other, announcement_of(1, 1)}).slots);
 }
 
 TEST(fleet_view, failure_domain_is_out_until_its_item_is_removed) {
@@ -76,7 +124,7 @@
         other.apply(at(1), it);
     CHECK_EQUAL(7, other.route_version());
     CHECK_EQUAL(1, other.members_of(test_service).size());
-    CHECK(other.find(backend_address(1)) != nullptr);
+    CHECK(other.find(backend_address(1), test_service) != nullptr);
 }
 
 // In an outage that the process did not notice, because its watch was still
--- a/packages/core/tests/rs_packet_agent_test.cpp
+++ b/packages/core/tests/rs_packet_agent_test.cpp
@@ -119,6 +119,21 @@
     CHECK(last_refusal() == refusal::draining);
 }
 
+// An entry of another writer with the backend server's address stopped its
+// openings.
+TEST(packet_agent, announcement_of_another_service_drains_no_backend_server) {
+    auto change = announcement_of(1, 2);
+    change.name = "backend/0";
+    auto& content = std::get<backend_announcement>(change.content);
+    content.service = test_service + 1;
+    content.start_unix_ms = 50;
+    content.is_draining = true;
+    core.view().apply(at(0), change);
+    core.view_changed(at(0), sink);
+    open(flow_of(1), 0);
+    CHECK_EQUAL(1, sink.to_backend);
+}
+
 TEST(packet_agent, opening_in_failure_domain_taken_out_is_declined) {
     core.view().apply(at(0), {.name = "out/1",
                                  .revision = 5,
--- a/packages/core/tests/rs_packet_balancer_test.cpp
+++ b/packages/core/tests/rs_packet_balancer_test.cpp
@@ -176,6 +176,25 @@
     CHECK_EQUAL(looks + 1, sink.looks);
 }
 
+// No request was served while another writer had entries with the addresses of
+// the backend servers.
+TEST(packet_balancer, announcement_of_another_service_takes_no_address) {
+    for (std::uint32_t n = 1; n <= 3; ++n) {
+        auto change = announcement_of(n, 10 + n);
+        change.name = "backend/0" + std::to_string(n);
+        auto& content = std::get<backend_announcement>(change.content);
+        content.service = test_service + 1;
+        content.start_unix_ms = 50;
+        content.slots = 7;
+        core.view().apply(at(0), change);
+    }
+    core.handle_caller(at(0), opening_packet(flow_of(1)), sink);
+    CHECK(sink.resets.empty());
+    CHECK_EQUAL(1, sink.sent.size());
+    CHECK(sink.sent[0].message.kind == agent_packet_kind::open);
+    CHECK_EQUAL(2, sink.sent[0].message.slots);
+}
+
 // A balancer that dropped openings received before its first read delayed them
 // by 200 ms, until the callers' retransmissions.
 TEST(packet_balancer, opening_before_the_first_read_is_placed_after_it) {
