Follow no redirect of the configuration service or of a peer

What was seen: a redirect from the store was followed wherever it led, and what came from there was merged into the view (900 calls of two processes in 8 s by a store that redirects to itself).

Cause: libsoup follows redirects of a GET unless told not to.

Before the change (radishspread_runtime_test -g configuration_client): redirect_ends_the_call_with_its_status: expected <302> but was <200>

The call now ends with the status of the redirect, which is a failed call and is logged with that status (event 1646 or 1647).

--- a/packages/runtime/src/rs_configuration_call.cpp
+++ b/packages/runtime/src/rs_configuration_call.cpp
@@ -39,6 +39,9 @@
 
 void configuration_call::start(SoupSession* session, std::string const& uri) {
     message_ = soup_message_new("GET", uri.c_str());
+    // The store and the peers are named in the settings; a reply must not
+    // choose where the next call goes.
+    soup_message_add_flags(message_, SOUP_MESSAGE_NO_REDIRECT);
     soup_session_send_async(session, message_, G_PRIORITY_DEFAULT, cancellable_,
         on_sent, new self_pointer(shared_from_this()));
 }
