Limit the calls of a process to the store and to peers

What was seen: a store whose watch returns at once without events, or whose page is empty and says that there is more, was called some 7,000 times a second by each process, which took all of a core (119,850 calls by two processes in 8 s). The store takes 2,000 reads a second from all.

Cause: a call that succeeds is followed by the next one at once, and nothing bounds their rate.

Before the change (radishspread_runtime_test -g item_source): watch_that_returns_at_once_is_repeated_within_the_budget: CHECK(service.calls() <= limit) failed, with a limit of 40 a second

Every call of an item source now asks one budget of its process. Half of the limit may start at once, the rest becomes available evenly, so that no second has more calls than the limit; a call beyond it waits, and the source that waits is first the next time. The limit is the process's share of half of the new setting reads_per_s (filled in from the platform's settings), counted over known backend servers, peers and itself, at least 40.

Not run: the two processes with a store that answers at once.

--- a/packages/config/include/radishspread/config/rs_packet_settings.hpp
+++ b/packages/config/include/radishspread/config/rs_packet_settings.hpp
@@ -31,6 +31,9 @@
     duration drain_bound = std::chrono::seconds(2);
     /// Largest value of an item of the configuration service, in bytes.
     std::size_t max_item_size = 1U << 20U;
+    /// Reads that the configuration service takes in a second from all
+    /// processes together.
+    double reads_per_second = 2000;
     endpoint backend_address;  ///< Agent: the backend server receives here.
     endpoint outbound_address; ///< Agent: the backend server sends here.
     std::string service;       ///< Agent: name of the service.
--- a/packages/config/src/rs_packet_settings.cpp
+++ b/packages/config/src/rs_packet_settings.cpp
@@ -22,6 +22,9 @@
 constexpr std::uint32_t min_item_bytes = 1024;
 constexpr std::uint32_t max_item_bytes = 16U << 20U;
 
+constexpr double min_reads_per_s = 1;
+constexpr double max_reads_per_s = 1'000'000;
+
 endpoint read_endpoint(map_reader& top, std::string_view key) {
     return top.address_and_port(key).value_or(endpoint{});
 }
@@ -76,6 +79,9 @@
     auto const item = top.integer<std::uint32_t>(
         "max_item_bytes", min_item_bytes, max_item_bytes, presence::optional);
     out.max_item_size = item.value_or(out.max_item_size);
+    auto const reads = top.fraction(
+        "reads_per_s", min_reads_per_s, max_reads_per_s, presence::optional);
+    out.reads_per_second = reads.value_or(out.reads_per_second);
     if (out.role == role::agent)
         read_agent(top, out);
     top.finish();
--- a/packages/runtime/include/radishspread/runtime/rs_configuration_client.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_configuration_client.hpp
@@ -1,6 +1,7 @@
 #ifndef RADISHSPREAD_RUNTIME_RS_CONFIGURATION_CLIENT_HPP
 #define RADISHSPREAD_RUNTIME_RS_CONFIGURATION_CLIENT_HPP
 
+#include <radishspread/core/rs_call_budget.hpp>
 #include <radishspread/core/rs_endpoint.hpp>
 #include <radishspread/core/rs_time.hpp>
 #include <radishspread/runtime/rs_section_response.hpp>
@@ -29,6 +30,8 @@
     duration watch_grace = std::chrono::seconds(2);
     /// A longer reply ends with the error `message_size`; in bytes.
     std::size_t max_reply_size = max_section_size;
+    /// Limit of the calls that ask `budget` before they start.
+    double calls_per_second = 40;
 };
 
 /// Reads and watches the configuration service over HTTP/1.1. Callbacks are
@@ -42,6 +45,11 @@
 
     void read(instant now, std::string_view name, response_callback callback);
 
+    /// Limits the calls of all users of this client together; each asks it
+    /// before a call and counts the call.
+    [[nodiscard]] call_budget& budget() { return budget_; }
+    [[nodiscard]] call_budget const& budget() const { return budget_; }
+
     /// Requests `path` from the service or a peer; times out at `deadline`.
     /// Returns the call for `cancel`.
     std::weak_ptr<configuration_call> get(endpoint from,
@@ -66,6 +74,7 @@
         std::string const& path, instant deadline, response_callback callback);
 
     configuration_client_options options_;
+    call_budget budget_;
     SoupSession* session_ = nullptr;
     std::vector<std::shared_ptr<configuration_call>> calls_;
     std::shared_ptr<configuration_call> watch_;
--- a/packages/runtime/include/radishspread/runtime/rs_item_source.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_item_source.hpp
@@ -33,17 +33,23 @@
           view_(view), client_(client), service_(service),
           on_page_(std::move(on_page)), log_(std::move(log)) {}
 
-    /// Starts the next call if it is due.
-    void start_due_call(instant now) {
+    /// Starts the next call if it is due and the budget of the client has one
+    /// left. Returns false if the call waits for the budget.
+    bool start_due_call(instant now) {
+        bool const is_due = !is_outstanding() && now >= due();
+        if (is_due && !client_.budget().has_left(now))
+            return false;
         auto const call = follower_.take_call(now);
         if (!call)
-            return;
+            return true;
+        client_.budget().take(now);
         is_peer_call_ = call->peer.is_set();
         is_watch_call_ = call->is_watch;
         call_ = client_.get(is_peer_call_ ? call->peer : service_,
             is_peer_call_ ? peer_path_ : Platform::path_of(*call),
             now + call->timeout,
             [this](section_response const& it) { handle_reply(it); });
+        return true;
     }
 
     /// Cancels the outstanding call and reads all items again.
--- a/packages/runtime/include/radishspread/runtime/rs_view_sources.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_view_sources.hpp
@@ -50,14 +50,23 @@
     /// Starts calls that are due and cancels those that have timed out.
     void tick(instant now) {
         client_.tick(now);
+        client_.budget().set_limit(calls_per_second());
         start_due_calls(now);
     }
 
     /// Starts calls that are due.
     void start_due_calls(instant now) {
-        for (auto const& it : sources_)
-            it->start_due_call(now);
-        members_reader_->start_due_call(now);
+        // The source that has to wait is first the next time, so that one that
+        // calls without a pause does not use up the budget of the others.
+        auto const count = sources_.size() + 1;
+        auto const first = first_;
+        for (std::size_t n = 0; n < count; ++n) {
+            auto const at = (first + n) % count;
+            if (source_at(at).start_due_call(now))
+                continue;
+            first_ = at;
+            return;
+        }
     }
 
     void restart(instant now) {
@@ -92,7 +101,8 @@
             [](auto const& it) { return it->is_complete(); });
     }
 
-    /// Time of the next call; `instant::max()` if all are outstanding.
+    /// Time of the next call; `instant::max()` if all are outstanding or none
+    /// is wanted.
     [[nodiscard]] instant due() const {
         auto due = instant::max();
         for (auto const& it : sources_)
@@ -100,7 +110,7 @@
                 due = std::min(due, it->due());
         if (!members_reader_->is_outstanding())
             due = std::min(due, members_reader_->due());
-        return due;
+        return std::max(due, client_.budget().next_at());
     }
 
 private:
@@ -119,6 +129,18 @@
         return out;
     }
 
+    [[nodiscard]] source& source_at(std::size_t n) {
+        return n < sources_.size() ? *sources_[n] : *members_reader_;
+    }
+
+    /// Limit of the calls of this process, which shares the service with the
+    /// processes at the members' hosts, the peers and those not known yet.
+    [[nodiscard]] double calls_per_second() const {
+        auto const& settings = shell_.settings();
+        return call_budget::share(settings.reads_per_second,
+            view_.members().size() + settings.peers.size() + 1);
+    }
+
     /// Limit of a reply in bytes. A page has about a mebibyte of items and may
     /// end with the largest one. Values take a third more in base64; the rest
     /// is for names and numbers.
@@ -152,6 +174,7 @@
     configuration_client client_;
     std::vector<std::unique_ptr<source>> sources_;
     std::unique_ptr<source> members_reader_;
+    std::size_t first_ = 0; ///< Index of the source that calls first.
 };
 
 } // namespace radishspread::runtime
--- a/packages/runtime/src/rs_configuration_client.cpp
+++ b/packages/runtime/src/rs_configuration_client.cpp
@@ -20,7 +20,7 @@
 } // namespace
 
 configuration_client::configuration_client(configuration_client_options options)
-    : options_(options),
+    : options_(options), budget_(options.calls_per_second),
       session_(soup_session_new_with_options("max-conns-per-host",
           max_connections, "user-agent", "radishspread", "proxy-resolver",
           // No proxy resolver: the default one loads desktop settings, which
--- a/packages/runtime/tests/rs_item_source_test.cpp
+++ b/packages/runtime/tests/rs_item_source_test.cpp
@@ -42,12 +42,20 @@
     static char const* readiness_path() { return "/ready"; }
 };
 
+/// Platform whose configuration service has no items.
+struct empty_platform : unreadable_item_platform {
+    static std::optional<item_page> parse_page(std::string&) {
+        return item_page{.as_of = 1};
+    }
+};
+
 /// Configuration service that responds to reads at once. It responds to one
 /// watch if the test sets `watch_reply`, and to no other.
 class silent_watch_service {
 public:
     std::string read_reply = "{}";
     std::string watch_reply;
+    bool is_hasty = false; ///< Responds to all watches, at once.
 
     silent_watch_service() : server_(soup_server_new(nullptr, nullptr)) {
         soup_server_add_handler(server_, "/read", serve_read, this, nullptr);
@@ -76,6 +84,7 @@
     }
     [[nodiscard]] std::size_t reads() const { return reads_; }
     [[nodiscard]] std::size_t watches() const { return watches_.size(); }
+    [[nodiscard]] std::size_t calls() const { return reads_ + hasty_watches_; }
 
 private:
     static void serve_read(SoupServer*, SoupServerMessage* message, char const*,
@@ -91,6 +100,10 @@
     static void serve_watch(SoupServer*, SoupServerMessage* message,
         char const*, GHashTable*, gpointer self) {
         auto& service = *static_cast<silent_watch_service*>(self);
+        if (service.is_hasty) {
+            ++service.hasty_watches_;
+            return respond(message, "{}");
+        }
         if (!service.watch_reply.empty())
             return respond(
                 message, std::exchange(service.watch_reply, std::string()));
@@ -101,6 +114,7 @@
 
     SoupServer* server_;
     std::size_t reads_ = 0;
+    std::size_t hasty_watches_ = 0;
     std::vector<SoupServerMessage*> watches_;
 };
 
@@ -181,3 +195,25 @@
     CHECK(run_until_watches(1));
     CHECK_EQUAL(2, service.reads());
 }
+
+// A watch that returns at once without events was started again at once: some
+// 7,000 calls a second by each process, against 2,000 that all may make.
+TEST(item_source, watch_that_returns_at_once_is_repeated_within_the_budget) {
+    constexpr std::size_t limit = 40;
+    service.is_hasty = true;
+    configuration_client paced{
+        {.service = service.address(), .calls_per_second = limit}};
+    item_source<empty_platform> hasty{{.prefix = "backend/"}, "/peer", view,
+        paced, service.address(), [](item_page const&, bool) {},
+        [](packet_log const&) {
+        }};
+    hasty.clock = source.clock;
+    auto const end = monotonic_now() + std::chrono::seconds(1);
+    test::run_until([&] {
+        hasty.start_due_call(monotonic_now());
+        return monotonic_now() >= end;
+    });
+    paced.reset();
+    CHECK(service.calls() > 2);
+    CHECK(service.calls() <= limit);
+}
