--- a/packages/runtime/src/rs_loop.cpp
+++ b/packages/runtime/src/rs_loop.cpp
@@ -1,6 +1,10 @@
 #include <radishspread/runtime/rs_loop.hpp>
 
-#include <glib-unix.h>
+#include <radishspread/runtime/rs_caught_signals.hpp>
+
+#include <unistd.h>
+
+#include <cstdint>
 
 namespace radishspread::runtime {
 
@@ -77,8 +81,21 @@
 }
 
 void loop::on_signal(int number, std::function<void()> callback) {
-    auto* source = g_unix_signal_source_new(number);
-    sources_.push_back(attach(source, std::move(callback)));
+    catch_signal(number);
+    if (signal_handlers_.empty())
+        signal_watch_ = fd_watch(caught_signals_descriptor(), G_IO_IN,
+            [this](GIOCondition) { deliver_signals(); });
+    signal_handlers_.emplace_back(number, std::move(callback));
+}
+
+void loop::deliver_signals() {
+    // Emptied first: a signal that comes later makes it readable again.
+    std::uint64_t count = 0;
+    static_cast<void>(
+        ::read(caught_signals_descriptor(), &count, sizeof count) < 0);
+    for (auto const& [number, callback] : signal_handlers_)
+        if (take_signal(number))
+            callback();
 }
 
 void loop::run() {
--- a/packages/runtime/src/rs_packet_shell.cpp
+++ b/packages/runtime/src/rs_packet_shell.cpp
@@ -80,7 +80,6 @@
 
 int packet_shell::run(hooks role_hooks, char const* readiness_path) {
     hooks_ = std::move(role_hooks);
-    std::signal(SIGPIPE, SIG_IGN);
     update_clock();
     log_limits();
     log({.number = packet_event::process_started, .text = settings_.name});
@@ -140,9 +139,9 @@
 void packet_shell::add_timers() {
     loop_.every(tick_interval, [this] { tick(); });
     loop_.before_poll([this] { sockets_.flush(); });
+    loop_.on_signal(SIGHUP, [this] { reload_settings(); });
     for (int const number : {SIGTERM, SIGINT})
         loop_.on_signal(number, [this, number] { begin_stop(number); });
-    loop_.on_signal(SIGHUP, [this] { reload_settings(); });
 }
 
 void packet_shell::tick() {
