Wait for an address that is taken or missing at the start

A process that started while its predecessor still drained, or before its address existed, ended with status 1 at once. The line that it left did not say so.

New tests with the real binary, both roles, before:

taken_port_is_opened_once_it_is_free CHECK_FALSE(process.wait(300ms).has_value()) failed port_taken_for_good_ends_with_status_1 CHECK(line.find("\"event\":1652,") != std::string::npos) failed stop_while_a_port_is_taken_ends_with_status_0: expected <0> but was <1>

Each address that cannot be opened is tried again with every tick, 100 ms, for as long as a predecessor may take to end, stop_deadline_ms, and one second more. Event 1656 names it once, event 1684 says when it opened; after the bound event 1652 gives the address, the error and status 1. A lack of descriptors at the start takes the same way. Meanwhile the process reads its view, is not ready and handles no datagram, since it could not pass packets on without all of its sockets. SIGTERM ends it with status 0.

The three tests pass; the first takes each of the four ports of a role.

--- a/packages/runtime/include/radishspread/runtime/rs_packet_shell.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_shell.hpp
@@ -72,8 +72,20 @@
     void wake_at(std::optional<instant> due);
 
 private:
-    [[nodiscard]] bool open_addresses(char const* readiness_path);
-    [[nodiscard]] bool open_socket(socket_key key, endpoint at);
+    /// Address that has not been opened yet.
+    struct closed_address {
+        endpoint at;
+        std::function<std::string()> open; ///< Returns the error message.
+        std::string fault;                 ///< Of the last try.
+    };
+
+    void list_addresses(char const* readiness_path);
+    void list_socket(socket_key key, endpoint at);
+    /// Tries to open the addresses that are not open yet.
+    void open_addresses();
+    /// Tries again, and ends the process if an address stays taken.
+    void retry_addresses();
+    [[nodiscard]] bool is_open() const { return closed_addresses_.empty(); }
     void add_timers();
     void tick();
     void log_limits();
@@ -89,6 +101,8 @@
     instant started_at_;
     std::optional<instant> stop_at_;
     std::string stop_cause_;
+    int exit_status_ = 0;
+    std::vector<closed_address> closed_addresses_;
     bool was_ready_ = false;
     std::uint64_t malformed_count_ = 0;
     instant next_malformed_report_at_;
--- a/packages/runtime/src/rs_packet_shell.cpp
+++ b/packages/runtime/src/rs_packet_shell.cpp
@@ -19,6 +19,9 @@
 /// Interval of work that has no timer of its own: timeouts of calls, sweeps of
 /// tables, the log.
 constexpr duration tick_interval = std::chrono::milliseconds(100);
+/// Time beyond the stop deadline for which an address may be taken at the
+/// start, because a predecessor ends by its own deadline.
+constexpr duration predecessor_margin = std::chrono::seconds(1);
 constexpr duration malformed_report_interval = std::chrono::seconds(1);
 
 } // namespace
@@ -30,7 +33,9 @@
       sockets_([this](socket_key key, receive_batch const& batch,
                    std::size_t count) {
           update_clock();
-          hooks_.receive(key, batch, count);
+          // Without all its sockets the process could not pass packets on.
+          if (is_open())
+              hooks_.receive(key, batch, count);
       }),
       timer_([this] { tick(); }) {
     for (auto const& it : packet_events)
@@ -84,56 +89,76 @@
     log_limits();
     log({.number = packet_event::process_started, .text = settings_.name});
     log_.flush();
-    if (!open_addresses(readiness_path)) {
-        log({.number = packet_event::process_stopped,
-            .value = 1,
-            .text = "address cannot be opened"});
-        log_.flush();
-        return 1;
-    }
+    list_addresses(readiness_path);
+    open_addresses();
     add_timers();
     tick();
     loop_.run();
     log_library_messages();
-    log({.number = packet_event::process_stopped, .text = stop_cause_});
+    log({.number = packet_event::process_stopped,
+        .value = exit_status_,
+        .text = stop_cause_});
     log_.flush();
-    return 0;
+    return exit_status_;
 }
 
-bool packet_shell::open_socket(socket_key key, endpoint at) {
-    auto const ec = sockets_.open(key, at);
-    if (ec)
-        log({.number = packet_event::listen_failed,
-            .peer = at,
-            .text = ec.message()});
-    return !ec;
+void packet_shell::list_socket(socket_key key, endpoint at) {
+    closed_addresses_.push_back({.at = at, .open = [this, key, at] {
+                                     auto const ec = sockets_.open(key, at);
+                                     return ec ? ec.message() : std::string();
+                                 }});
 }
 
-bool packet_shell::open_addresses(char const* readiness_path) {
+void packet_shell::list_addresses(char const* readiness_path) {
     auto const& it = settings_;
     endpoint const peer{
         .address = it.packet_address.address, .port = it.peer_port};
     if (it.role == config::role::agent) {
-        if (!open_socket(agent_side_socket, it.packet_address) ||
-            !open_socket(backend_side_socket, it.outbound_address))
-            return false;
-    } else if (!open_socket(caller_side_socket, it.packet_address) ||
-               !open_socket(agent_side_socket, peer)) {
-        return false;
+        list_socket(agent_side_socket, it.packet_address);
+        list_socket(backend_side_socket, it.outbound_address);
+    } else {
+        list_socket(caller_side_socket, it.packet_address);
+        list_socket(agent_side_socket, peer);
     }
     server_.add(readiness_path, [this] {
-        bool const is_ready = !is_stopping() && hooks_.is_ready();
+        bool const is_ready = !is_stopping() && is_open() && hooks_.is_ready();
         return http_response{.status = is_ready ? 200U : 503U};
     });
     server_.add(metrics_path, [this] { return metrics_response(metrics_); });
-    for (auto const at : {it.readiness_address, peer}) {
-        auto const text = server_.listen(at);
-        if (text.empty())
-            continue;
-        log({.number = packet_event::listen_failed, .peer = at, .text = text});
-        return false;
-    }
-    return true;
+    for (auto const at : {it.readiness_address, peer})
+        closed_addresses_.push_back({.at = at, .open = [this, at] {
+                                         return server_.listen(at);
+                                     }});
+}
+
+void packet_shell::open_addresses() {
+    std::erase_if(closed_addresses_, [this](closed_address& it) {
+        auto const text = it.open();
+        bool const is_first_try = it.fault.empty();
+        if (text.empty() && !is_first_try)
+            log({.number = packet_event::address_opened,
+                .peer = it.at,
+                .value = (now_ - started_at_) / std::chrono::milliseconds(1)});
+        else if (!text.empty() && is_first_try)
+            log({.number = packet_event::listen_failed,
+                .peer = it.at,
+                .text = text});
+        it.fault = text;
+        return text.empty();
+    });
+}
+
+void packet_shell::retry_addresses() {
+    if (is_open())
+        return;
+    open_addresses();
+    if (is_open() || stop_at_ ||
+        now_ - started_at_ < settings_.stop_deadline + predecessor_margin)
+        return;
+    auto const& it = closed_addresses_.front();
+    exit_status_ = 1;
+    stop_cause_ = to_string(it.at) + " cannot be opened: " + it.fault;
+    loop_.quit();
 }
 
 void packet_shell::add_timers() {
@@ -146,8 +171,9 @@
 
 void packet_shell::tick() {
     update_clock();
+    retry_addresses();
     hooks_.tick();
-    if (!was_ready_ && hooks_.is_ready()) {
+    if (!was_ready_ && is_open() && hooks_.is_ready()) {
         was_ready_ = true;
         log({.number = packet_event::became_ready,
             .value = (now_ - started_at_) / std::chrono::milliseconds(1)});
