End a stop that hangs at its deadline

A process whose event loop does not run ignored SIGTERM until it was killed: the stop, its deadline and a second SIGTERM all depend on the loop. Nothing in the log told it from a slow stop.

The handler of the first SIGTERM or SIGINT starts an interval timer of stop_deadline_ms and half a second; its handler leaves event 1681 and ends the process with status 3, which is documented. Neither needs the loop, a thread or memory. A stop signal that came before the settings were read starts the timer then.

--- a/packages/config/include/radishspread/config/rs_command_line.hpp
+++ b/packages/config/include/radishspread/config/rs_command_line.hpp
@@ -13,6 +13,7 @@
     exit_success = 0,
     exit_runtime_error = 1, ///< Failure at run time.
     exit_invalid_input = 2, ///< Invalid usage, settings or document.
+    exit_stop_deadline = 3, ///< A stop did not end by its deadline.
 };
 
 /// Runs the process with its settings and returns the exit status. The path of
--- a/packages/runtime/src/rs_packet_shell.cpp
+++ b/packages/runtime/src/rs_packet_shell.cpp
@@ -1,7 +1,9 @@
 #include <radishspread/runtime/rs_packet_shell.hpp>
 
 #include <radishspread/config/internal/rs_read_text.hpp>
+#include <radishspread/config/rs_command_line.hpp>
 #include <radishspread/core/rs_packet_events.hpp>
+#include <radishspread/runtime/rs_caught_signals.hpp>
 #include <radishspread/runtime/rs_last_words.hpp>
 #include <radishspread/runtime/rs_metrics_server.hpp>
 #include <radishspread/runtime/rs_process_resources.hpp>
@@ -19,6 +21,8 @@
 /// Interval of work that has no timer of its own: timeouts of calls, sweeps of
 /// tables, the log.
 constexpr duration tick_interval = std::chrono::milliseconds(100);
+/// Time beyond the stop deadline after which the process is ended.
+constexpr duration stop_margin = std::chrono::milliseconds(500);
 /// Time beyond the stop deadline for which an address may be taken at the
 /// start, because a predecessor ends by its own deadline.
 constexpr duration predecessor_margin = std::chrono::seconds(1);
@@ -89,6 +93,8 @@
     log_limits();
     log({.number = packet_event::process_started, .text = settings_.name});
     log_.flush();
+    limit_stop(
+        settings_.stop_deadline + stop_margin, config::exit_stop_deadline);
     list_addresses(readiness_path);
     open_addresses();
     add_timers();
@@ -223,6 +229,8 @@
     }
     // Addresses and names need a restart; only the stop deadline is applied.
     settings_.stop_deadline = next.value->stop_deadline;
+    limit_stop(
+        settings_.stop_deadline + stop_margin, config::exit_stop_deadline);
     log({.number = packet_event::settings_reloaded,
         .value = *next.value == settings_ ? 0 : 1});
 }
