Name used-up memory as the cause of an end by any signal

Cause: the message of GLib about a failed allocation allocates itself. If not even a hundred bytes are left, it fails again, and so on until the stack is used up; a thread that cannot be set up ends with SIGABRT. Which allocation fails first decides between these and SIGTRAP with a cause. Bounded HTTP connections shift it, since they no longer take the memory themselves.

The handler of fatal signals now tries a mapping and says in the last line whether allocations fail.

--- a/packages/runtime/src/rs_last_words.cpp
+++ b/packages/runtime/src/rs_last_words.cpp
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include <signal.h>
+#include <sys/mman.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -95,10 +96,26 @@
     }
 }
 
+// A library that cannot allocate may end by any signal: the message of GLib
+// about it allocates again, and so on until the stack is used up.
+bool can_allocate() noexcept {
+    constexpr std::size_t size = 64U << 10U;
+    auto* const found = ::mmap(nullptr, size, PROT_READ | PROT_WRITE,
+        MAP_PRIVATE | MAP_ANONYMOUS, -1, 0);
+    if (found == MAP_FAILED)
+        return false;
+    ::munmap(found, size);
+    return true;
+}
+
 // SA_RESETHAND has restored the default action; the signal is blocked until the
 // return, so the process then ends by it, with the true status.
 void handle_fatal_signal(int number) {
-    write_last_words(name_of_signal(number), number);
+    fixed_text<max_cause> cause;
+    cause.add(name_of_signal(number));
+    if (!can_allocate())
+        cause.add(" while allocations fail");
+    write_last_words(cause.view(), number);
     static_cast<void>(::raise(number));
 }
 
