Clamp figures of the platform that are out of range

A settings file with max_item_bytes above 16 MiB, drain_bound_ms of 0 or link_mbit_per_s of 0 kept both roles from starting, at every try, with status 2. Templates fill these three from the platform's own figures, for which it states no range, so no operator can correct them at a host.

Negative figures, other types, unknown and missing keys stay faults, as does an item limit below 1 KiB, in which no item that describes anything fits. All other settings are ours, and a wrong one is a wrong file.

--- a/packages/config/include/radishspread/config/rs_packet_settings.hpp
+++ b/packages/config/include/radishspread/config/rs_packet_settings.hpp
@@ -46,6 +46,8 @@
 struct parsed_packet_settings {
     std::optional<packet_settings> value;
     std::vector<fault> faults;
+    /// Figures out of their range, for which the nearest bound is used.
+    std::vector<fault> clamped;
 };
 
 /// Parses and validates a settings file. `file` is only used in faults.
--- a/packages/core/include/radishspread/core/rs_packet_events.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_events.hpp
@@ -59,8 +59,9 @@
 inline constexpr std::uint16_t last_words = 1681;
 inline constexpr std::uint16_t library_message = 1682;
 inline constexpr std::uint16_t read_given_up = 1660;
+inline constexpr std::uint16_t setting_clamped = 1683;
 inline constexpr std::uint16_t address_opened = 1684;
-inline constexpr std::size_t count = 49;
+inline constexpr std::size_t count = 50;
 
 } // namespace packet_event
 
@@ -168,6 +169,8 @@
         {packet_event::read_given_up, severity::warning,
             "read of the configuration service given up; value: items of the "
             "last page"},
+        {packet_event::setting_clamped, severity::warning,
+            "setting out of range, the nearest bound is used"},
         {packet_event::address_opened, severity::info,
             "address opened after further tries; value: ms since start"},
     }};
--- a/packages/runtime/include/radishspread/runtime/rs_packet_shell.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_shell.hpp
@@ -42,7 +42,9 @@
         duration shutdown_delay{0};
     };
 
-    packet_shell(config::packet_settings settings, std::string settings_file);
+    /// `clamped`: settings out of range, for the log.
+    packet_shell(config::packet_settings settings, std::string settings_file,
+        std::vector<config::fault> clamped = {});
 
     /// Opens the sockets and the HTTP server and runs until stopped; returns
     /// the exit status.
@@ -89,6 +91,7 @@
     void add_timers();
     void tick();
     void log_limits();
+    void log_clamped(std::vector<config::fault> const& clamped);
     void log_library_messages();
     /// Starts the stop that the signal asks for; the second one ends at once.
     void begin_stop(int number);
@@ -96,6 +99,7 @@
 
     config::packet_settings settings_;
     std::string settings_file_;
+    std::vector<config::fault> clamped_;
     hooks hooks_;
     instant now_;
     instant started_at_;
--- a/packages/runtime/src/rs_packet_shell.cpp
+++ b/packages/runtime/src/rs_packet_shell.cpp
@@ -30,10 +30,11 @@
 
 } // namespace
 
-packet_shell::packet_shell(
-    config::packet_settings settings, std::string settings_file)
+packet_shell::packet_shell(config::packet_settings settings,
+    std::string settings_file, std::vector<config::fault> clamped)
     : settings_(std::move(settings)), settings_file_(std::move(settings_file)),
-      now_(monotonic_now()), started_at_(now_), log_(settings_.name),
+      clamped_(std::move(clamped)), now_(monotonic_now()), started_at_(now_),
+      log_(settings_.name),
       sockets_([this](socket_key key, receive_batch const& batch,
                    std::size_t count) {
           update_clock();
@@ -91,6 +92,7 @@
     hooks_ = std::move(role_hooks);
     update_clock();
     log_limits();
+    log_clamped(clamped_);
     log({.number = packet_event::process_started, .text = settings_.name});
     log_.flush();
     limit_stop(
@@ -197,6 +199,13 @@
     log({.number = packet_event::limits_in_force, .text = text});
 }
 
+void packet_shell::log_clamped(std::vector<config::fault> const& clamped) {
+    for (auto const& it : clamped) {
+        auto const text = to_string(it);
+        log({.number = packet_event::setting_clamped, .text = text});
+    }
+}
+
 void packet_shell::log_library_messages() {
     for (auto const& it : take_library_messages())
         log({.number = packet_event::library_message, .text = it});
@@ -227,6 +236,7 @@
             .text = fault});
         return;
     }
+    log_clamped(next.clamped);
     // Addresses and names need a restart; only the stop deadline is applied.
     settings_.stop_deadline = next.value->stop_deadline;
     limit_stop(
