--- a/packages/runtime/src/rs_caught_signals.cpp
+++ b/packages/runtime/src/rs_caught_signals.cpp
@@ -39,7 +39,7 @@
     auto const ms = stop_bound_ms.load();
     itimerval timer{};
     timer.it_value.tv_sec = ms / 1000;
-    timer.it_value.tv_usec = ms % 1000 * 1000;
+    timer.it_value.tv_usec = ms % 1000 * 1000L;
     itimerval running{};
     getitimer(ITIMER_REAL, &running);
     // The first of several stop signals sets the deadline.
