End the process after a fatal message of GLib

A process that ran out of descriptors (6 to 10 in all) wrote why it ends and then did not: it used a core and ignored SIGTERM. GLib blocks all signals while it creates its worker thread, raises a trap, which stays pending, and loops.

New test with the real binary, before:

fatal_message_with_blocked_signals_ends_the_process but was <0> (still running 5 s after its last line)

A stack of the running process showed g_main_context_new_with_flags under g_task_new, all signals blocked and SIGTRAP pending. The handler of GLib's messages now unblocks SIGTRAP after a fatal one, so the process ends by signal 5. A thread that cannot be created takes the same way in GLib; that case was not run. The test passes.

--- a/packages/runtime/src/rs_last_words.cpp
+++ b/packages/runtime/src/rs_last_words.cpp
@@ -132,6 +132,15 @@
     std::abort();
 }
 
+// GLib blocks all signals while it creates its thread. Its trap would then stay
+// pending, and GLib loops after it.
+void allow_trap() {
+    sigset_t numbers;
+    sigemptyset(&numbers);
+    sigaddset(&numbers, SIGTRAP);
+    pthread_sigmask(SIG_UNBLOCK, &numbers, nullptr);
+}
+
 std::string_view find_field(
     std::span<GLogField const> fields, std::string_view key) {
     for (auto const& it : fields) {
@@ -164,6 +173,7 @@
         cause.add(": ");
         cause.add(text);
         write_last_words(cause.view(), SIGTRAP);
+        allow_trap();
         return G_LOG_WRITER_HANDLED;
     }
     if ((level & (G_LOG_LEVEL_CRITICAL | G_LOG_LEVEL_WARNING)) == 0)
