Take items of a peer as provisional until the store confirms them

What callers saw: one page of a process of another installation, or of one whose view was wrong, hid the items of the store for as long as the process ran. The same without an enemy: an address that belonged to another installation before.

Cause: item_follower merged a peer's items like the store's, so that their higher revisions won for good, removed what the peer lacked, and let the watch begin at the peer's revision, which the store may never have had.

Change: fleet_view::apply_peer keeps what each item of a peer replaces. The store's next reply that was requested later confirms an item, or settle gives it up and restores what it replaced, the routes included. The next call after a peer's page is a watch from the store's own revision that waits for 1 ms, so this takes one short call; a reply of the store is linearizable. A process with provisional items serves none to its peers, so a wrong page is not spread. Looks for a version (version_claims) count only a version above all earlier ones as progress, so that giving one up doesn't make them frequent.

--- a/packages/core/include/radishspread/core/internal/rs_version_claims.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_version_claims.hpp
@@ -20,13 +20,13 @@
         instant now, std::uint64_t claimed, std::uint64_t held) {
         if (claimed <= held)
             return false;
-        if (held != held_at_look_ || now - next_look_at_ >= forget_time)
+        if (held > held_at_look_ || now - next_look_at_ >= forget_time)
             fruitless_looks_ = 0;
         else if (now < next_look_at_)
             return false;
         else
             ++fruitless_looks_;
-        held_at_look_ = held;
+        held_at_look_ = std::max(held_at_look_, held);
         next_look_at_ =
             now + std::min(maximum_interval,
                       minimum_interval *
@@ -46,7 +46,7 @@
 private:
     static constexpr unsigned max_doublings = 8;
 
-    std::uint64_t held_at_look_ = 0;
+    std::uint64_t held_at_look_ = 0; ///< Newest so far.
     instant next_look_at_;
     unsigned fruitless_looks_ = 0;
 };
--- a/packages/core/include/radishspread/core/rs_fleet_view.hpp
+++ b/packages/core/include/radishspread/core/rs_fleet_view.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -40,6 +41,21 @@
     /// Merges one item; false if the view has the same or a newer revision.
     bool apply(instant now, fleet_change const& change);
 
+    /// Merges all items of a peer whose names begin with `prefix`. They are
+    /// provisional: in effect until the source of the items confirms each with
+    /// `apply` or `settle` drops it.
+    void apply_peer(instant now, std::string_view prefix,
+        std::span<fleet_change const> changes, revision as_of);
+
+    /// Restores what was in effect before those provisional items with the
+    /// prefix that a reply of the source, requested at `requested_at`, has not
+    /// confirmed.
+    void settle(instant requested_at, std::string_view prefix);
+
+    [[nodiscard]] bool has_provisional_items() const {
+        return !replaced_.empty();
+    }
+
     /// Ends a complete read, as of revision `as_of`, of all items whose names
     /// begin with `prefix`: removes the items that are not in `names` unless
     /// their revision is higher.
@@ -113,6 +129,11 @@
     void apply_member(instant now, fleet_change const& change,
         backend_announcement const& it);
     void remove(instant now, std::string const& name);
+    bool merge(instant now, fleet_change const& change);
+    void apply_provisional(instant now, fleet_change const& change);
+    /// Restores what the provisional item replaced.
+    void restore(std::string const& name);
+    void restore_routes();
     void index_members();
     [[nodiscard]] route_set routes() const;
     [[nodiscard]] backend_announcement announcement_of(
@@ -124,6 +145,25 @@
         instant removed_at; ///< Default: the item exists.
     };
 
+    /// What a provisional item replaced.
+    struct replaced_item {
+        instant received_at; ///< Of the first provisional item.
+        std::optional<held_revision> held;
+        std::optional<member> announced;
+        std::optional<std::uint32_t> domain_out;
+        bool has_routes = false; ///< The provisional item has routes.
+    };
+
+    /// Routes that provisional ones replaced.
+    struct replaced_routes {
+        std::map<endpoint, route_entry> routes;
+        std::vector<service_warmup> warmups;
+        std::string name;
+        std::uint64_t version = 0;
+    };
+
+    std::map<std::string, replaced_item, std::less<>> replaced_;
+    std::optional<replaced_routes> replaced_routes_;
     std::map<std::string, held_revision, std::less<>> revisions_;
     std::map<std::string, member, std::less<>> members_;
     std::vector<member const*> all_members_;
--- a/packages/core/include/radishspread/core/rs_item_follower.hpp
+++ b/packages/core/include/radishspread/core/rs_item_follower.hpp
@@ -109,6 +109,8 @@
     static constexpr duration restart_interval = std::chrono::milliseconds(100);
     /// Limit of the pages of a read.
     static constexpr std::size_t max_pages = 1024;
+    /// A watch that only confirms what a peer returned waits for no change.
+    static constexpr duration confirmation_wait = std::chrono::milliseconds(1);
 
 private:
     bool handle_read(instant now, item_page const& page, fleet_view& view);
@@ -126,6 +128,7 @@
     std::uint64_t given_up_reads_ = 0;
     bool is_watching_ = false; ///< The next or outstanding call is a watch.
     bool is_outstanding_ = false;
+    bool confirms_peer_ = false; ///< The service has not replied since a peer.
     bool is_complete_ = false;
     bool is_read_requested_ = false; ///< After the outstanding one.
     instant due_;
--- a/packages/core/src/rs_fleet_view.cpp
+++ b/packages/core/src/rs_fleet_view.cpp
@@ -27,7 +27,101 @@
     return it == revisions_.end() || change.revision > it->second.number;
 }
 
+// The word of the source counts, whatever a peer has returned meanwhile.
 bool fleet_view::apply(instant now, fleet_change const& change) {
+    if (replaced_.contains(change.name))
+        restore(change.name);
+    if (std::holds_alternative<route_set>(change.content))
+        restore_routes();
+    return merge(now, change);
+}
+
+void fleet_view::apply_peer(instant now, std::string_view prefix,
+    std::span<fleet_change const> changes, revision as_of) {
+    std::set<std::string_view> names;
+    for (auto const& it : changes) {
+        if (!it.name.starts_with(prefix))
+            continue;
+        names.insert(it.name);
+        apply_provisional(now, it);
+    }
+    std::vector<std::string> removed;
+    for (auto it = revisions_.lower_bound(prefix);
+         it != revisions_.end() && it->first.starts_with(prefix); ++it)
+        if (it->second.removed_at == instant{} && it->second.number < as_of &&
+            !names.contains(it->first))
+            removed.push_back(it->first);
+    for (auto const& name : removed)
+        apply_provisional(now, {.name = name, .revision = as_of});
+}
+
+void fleet_view::apply_provisional(instant now, fleet_change const& change) {
+    if (!is_newer(change))
+        return;
+    auto const [entry, is_new] = replaced_.try_emplace(change.name);
+    auto& replaced = entry->second;
+    if (is_new) {
+        replaced.received_at = now;
+        if (auto const it = revisions_.find(change.name);
+            it != revisions_.end())
+            replaced.held = it->second;
+        if (auto const it = members_.find(change.name); it != members_.end())
+            replaced.announced = it->second;
+        if (auto const it = domains_out_.find(change.name);
+            it != domains_out_.end())
+            replaced.domain_out = it->second;
+    }
+    if (std::holds_alternative<route_set>(change.content)) {
+        replaced.has_routes = true;
+        if (!replaced_routes_)
+            replaced_routes_ = {.routes = routes_,
+                .warmups = warmups_,
+                .name = routes_name_,
+                .version = version_};
+    }
+    merge(now, change);
+}
+
+void fleet_view::settle(instant requested_at, std::string_view prefix) {
+    std::vector<std::string> unconfirmed;
+    for (auto it = replaced_.lower_bound(prefix);
+         it != replaced_.end() && it->first.starts_with(prefix); ++it)
+        if (it->second.received_at <= requested_at)
+            unconfirmed.push_back(it->first);
+    for (auto const& name : unconfirmed)
+        restore(name);
+}
+
+void fleet_view::restore(std::string const& name) {
+    auto const replaced = std::move(replaced_.extract(name).mapped());
+    if (replaced.has_routes)
+        restore_routes();
+    if (replaced.held)
+        revisions_[name] = *replaced.held;
+    else
+        revisions_.erase(name);
+    if (replaced.domain_out)
+        domains_out_[name] = *replaced.domain_out;
+    else
+        domains_out_.erase(name);
+    if (replaced.announced)
+        members_[name] = *replaced.announced;
+    else
+        members_.erase(name);
+    index_members();
+}
+
+void fleet_view::restore_routes() {
+    if (!replaced_routes_)
+        return;
+    routes_ = std::move(replaced_routes_->routes);
+    warmups_ = std::move(replaced_routes_->warmups);
+    routes_name_ = std::move(replaced_routes_->name);
+    version_ = replaced_routes_->version;
+    replaced_routes_.reset();
+}
+
+bool fleet_view::merge(instant now, fleet_change const& change) {
     if (!is_newer(change))
         return false;
     auto& held = revisions_[change.name];
--- a/packages/core/src/rs_item_follower.cpp
+++ b/packages/core/src/rs_item_follower.cpp
@@ -29,12 +29,14 @@
         return item_call{.prefix = options_.prefix,
             .timeout = options_.peer_timeout,
             .peer = peer_};
-    if (is_watching_)
+    if (is_watching_) {
+        auto const wait = confirms_peer_ ? confirmation_wait : options_.wait;
         return item_call{.is_watch = true,
             .prefix = options_.prefix,
             .after = after_,
-            .wait = options_.wait,
-            .timeout = options_.wait + options_.watch_grace};
+            .wait = wait,
+            .timeout = wait + options_.watch_grace};
+    }
     if (after_name_.empty())
         read_started_ = now;
     return item_call{.prefix = options_.prefix,
@@ -62,13 +64,15 @@
     instant now, item_page const& page, fleet_view& view) {
     for (auto const& it : page.changes)
         view.apply(now, it);
+    view.settle(call_started_at_, options_.prefix);
+    bool const is_confirmation = std::exchange(confirms_peer_, false);
     bool const is_news = !page.changes.empty() && page.as_of > after_;
     bool const is_quiet =
         page.changes.empty() && now - call_started_at_ >= options_.wait / 2;
     after_ = std::max(after_, page.as_of);
     auto const delay =
         page.changes.empty() ? duration{0} : options_.collect_interval;
-    if (is_news || is_quiet) {
+    if (is_news || is_quiet || is_confirmation) {
         pace_.reply_was_useful();
         due_ = now + delay;
     } else {
@@ -77,17 +81,14 @@
 }
 
 // A peer with an outdated view cannot revert items, because only higher
-// revisions are applied. The next call goes to the service again.
+// revisions are applied. What it returns is not known to come from the service,
+// so it is provisional, and the watch goes on from the service's own revision.
+// The next call goes to the service again.
 bool item_follower::handle_peer(
     instant now, item_page const& page, fleet_view& view) {
-    std::set<std::string, std::less<>> names;
-    for (auto const& it : page.changes) {
-        view.apply(now, it);
-        names.insert(it.name);
-    }
-    view.finish_read(now, options_.prefix, names, page.as_of);
+    view.apply_peer(now, options_.prefix, page.changes, page.as_of);
     is_complete_ = is_complete_ || page.as_of > 0;
-    after_ = std::max(after_, page.as_of);
+    confirms_peer_ = true;
     // The service is called next: at once, or with backoff if it has failed.
     due_ = now;
     if (failures_ == 0)
@@ -120,6 +121,8 @@
         after_name_ = page.changes.back().name;
         return false;
     }
+    view.settle(read_started_, options_.prefix);
+    confirms_peer_ = false;
     view.finish_read(now, options_.prefix, names_, read_from_);
     is_complete_ = true;
     bool const reads_again = std::exchange(is_read_requested_, false);
--- a/packages/runtime/include/radishspread/runtime/rs_view_sources.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_view_sources.hpp
@@ -160,7 +160,9 @@
     [[nodiscard]] http_response encode_reply(std::size_t n) const {
         constexpr unsigned unavailable = 503;
         auto const& follower = sources_[n]->follower();
-        if (!follower.is_complete() || follower.as_of() == 0)
+        // Only what the configuration service has confirmed is passed on.
+        if (!follower.is_complete() || follower.as_of() == 0 ||
+            view_.has_provisional_items())
             return {.status = unavailable};
         item_page const page{.changes = view_.items(shell_.now(), prefixes_[n]),
             .as_of = follower.as_of()};
