Extract a replaced item without a move that has no effect

Cause: the linter rejects std::move on the result of extract().mapped() in fleet_view::restore (performance-move-const-arg).

Change: the value is taken as it is.

--- a/packages/core/src/rs_fleet_view.cpp
+++ b/packages/core/src/rs_fleet_view.cpp
@@ -93,7 +93,7 @@
 }
 
 void fleet_view::restore(std::string const& name) {
-    auto const replaced = std::move(replaced_.extract(name).mapped());
+    auto const replaced = replaced_.extract(name).mapped();
     if (replaced.has_routes)
         restore_routes();
     if (replaced.held)
