Start a flow anew when a caller uses its port again

Cause: the agent used the entry of the ended flow with the finishes of both its ends, took the new flow for ended when its opening was answered, dropped the entry after 5 s and replied not_held. A late finish of the old flow had the same effect. A balancer that had the old flow in its cache sent the opening to its agent only and ignored the refusal.

Change: an admitted opening clears the entry. On a port used again, packets other than the opening's reply that come before it are passed on but not recorded: the new flow can't have any yet. A declined opening of a cached flow is tried at other agents. If the holder has only restarted, the opening may be a late copy of that of an open flow, so none of this leads to a reset (opening_declined_by_cached_and_all_agents_resets_nothing).

--- a/packages/core/include/radishspread/core/internal/rs_held_flow.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_held_flow.hpp
@@ -28,6 +28,7 @@
     bool has_data = false;       ///< The caller has sent data.
     bool caller_finished = false;
     bool backend_finished = false;
+    bool has_predecessor = false; ///< The caller's port is used again.
     bool has_caller_end = false;  ///< `caller_end` is valid.
     std::uint32_t caller_end = 0; ///< After the caller's last byte.
     std::uint32_t handshake = 0;  ///< Sequence number of the opening reply.
@@ -37,6 +38,22 @@
     instant outstanding_since; ///< Start of `is_outstanding`.
     instant last_packet_at;
 
+    /// Discards what belongs to an earlier flow with the same addresses.
+    void start_anew() {
+        has_data = false;
+        caller_finished = false;
+        backend_finished = false;
+        has_caller_end = false;
+        handshake = 0;
+        notified_balancer = {};
+    }
+
+    /// True if a packet other than an opening or its reply is a late one of an
+    /// earlier flow.
+    [[nodiscard]] bool expects_only_reply() const {
+        return has_predecessor && state == held_state::opening;
+    }
+
     /// Records the caller's bytes up to sequence number `end`; true if they are
     /// new. A retransmitted request does not count as new: the backend server
     /// may have responded to it already.
--- a/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
@@ -157,6 +157,8 @@
             return send_not_held(
                 from, message, is_locate, message.packet, sink);
         }
+        if (it.expects_only_reply())
+            return sink.send_backend(packet.bytes);
         record_caller_packet(now, it, packet);
         it.balancer = from;
         // The result of a running probe is reported when the backend server
@@ -245,6 +247,8 @@
     using internal::held_state;
     auto const flow = packet.from_backend();
     auto& it = insert(now, flow);
+    if (it.expects_only_reply() && !packet.is_opening_reply)
+        return sink.send_caller(flow, packet.bytes);
     if (packet.is_opening_reply) {
         it.handshake = packet.sequence;
         if (it.state != held_state::open)
--- a/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
@@ -284,9 +284,12 @@
 void packet_balancer::on_declined(
     instant now, endpoint from, agent_packet const& message, Sink& sink) {
     loads_.load_reported(now, from, message);
-    auto const found = openings_.find(message.flow);
-    if (found == openings_.end())
-        return;
+    auto found = openings_.find(message.flow);
+    if (found == openings_.end()) {
+        if (!forget_ended_flow(now, from, message))
+            return;
+        found = openings_.find(message.flow);
+    }
     auto& pending = found->second;
     pending.last_refusal = message.why;
     if (pending.is_queued && pending.agent == from)
--- a/packages/core/include/radishspread/core/internal/rs_packet_opening_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_opening_impl.hpp
@@ -56,13 +56,13 @@
 template <packet_sink Sink>
 void packet_agent::admit_opening(instant now, endpoint from,
     agent_packet const& message, std::span<std::byte const> bytes, Sink& sink) {
+    bool const is_known = flows_.contains(message.flow);
     auto& held = insert(now, message.flow);
+    held.start_anew();
+    held.has_predecessor = is_known;
     held.balancer = from;
     held.last_packet_at = now;
     held.opened_at = now;
-    held.notified_balancer = {};
-    held.has_data = false;
-    held.has_caller_end = false;
     unused_.emplace_back(now, message.flow);
     set_state(held, internal::held_state::opening);
     set_outstanding(now, held, true);
--- a/packages/core/include/radishspread/core/rs_packet_balancer.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_balancer.hpp
@@ -217,6 +217,10 @@
     template <packet_sink Sink>
     void on_held(
         instant now, endpoint from, agent_packet const& message, Sink& sink);
+    /// Replaces the cached flow by an opening that its holder has declined, as
+    /// it does no copy of an opening. Returns false if there is no such flow.
+    bool forget_ended_flow(
+        instant now, endpoint from, agent_packet const& message);
     void on_queued(instant now, endpoint from, agent_packet const& message);
     template <packet_sink Sink>
     void on_declined(
--- a/packages/core/src/rs_packet_balancer.cpp
+++ b/packages/core/src/rs_packet_balancer.cpp
@@ -217,6 +217,27 @@
     it->second.reply_due = instant::max();
 }
 
+bool packet_balancer::forget_ended_flow(
+    instant now, endpoint from, agent_packet const& message) {
+    auto const cached = flows_.find(message.flow);
+    auto const service = view_.service_of(message.flow.service);
+    bool const is_holder =
+        cached != flows_.end() && cached->second.holder.agent == from;
+    if (!is_holder || message.packet.empty() || service == 0 || !is_ready())
+        return false;
+    flows_.erase(cached);
+    auto& pending = openings_[message.flow];
+    pending.service = service;
+    pending.first_sent_at = now;
+    pending.packet.assign(message.packet.begin(), message.packet.end());
+    pending.agent = from;
+    pending.tried.push_back(from);
+    // The holder may have restarted and the opening be a copy of that of an
+    // open flow, so it must not lead to a reset.
+    pending.has_unresponsive_agent = true;
+    return true;
+}
+
 void packet_balancer::cache_holder(
     instant now, packet_flow const& flow, internal::flow_holder const& holder) {
     auto const [found, is_new] = flows_.try_emplace(flow);
--- a/packages/core/tests/rs_packet_agent_test.cpp
+++ b/packages/core/tests/rs_packet_agent_test.cpp
@@ -3,7 +3,18 @@
 using namespace radishspread;
 using namespace radishspread::test;
 
-TEST_GROUP_BASE(packet_agent, packet_agent_fixture){};
+TEST_GROUP_BASE(packet_agent, packet_agent_fixture){
+    /// Delivers the finish of both ends of the first flow.
+    void close_flow(int ms){auto finish = caller_packet_of(flow_of(1), 101);
+finish.is_finish = true;
+deliver(core, at(ms), balancer_one,
+    message(agent_packet_kind::forward, flow_of(1)), finish);
+finish = backend_packet_of(flow_of(1));
+finish.is_finish = true;
+core.handle_backend(at(ms), finish, sink);
+}
+}
+;
 
 TEST(packet_agent, opening_reaches_the_backend_server_and_is_reported) {
     establish(flow_of(1), 0);
@@ -188,3 +199,29 @@
     open(flow_of(1), 100);
     CHECK_EQUAL(1, sink.to_backend);
 }
+
+// Open flows were reset if their callers had used the port for another flow
+// shortly before.
+TEST(packet_agent, port_used_again_starts_a_flow_of_its_own) {
+    establish(flow_of(1), 0, 100);
+    close_flow(1);
+    establish(flow_of(1), 1000, 500);
+    forward(flow_of(1), 501, 1001);
+    core.tick(at(1100), sink);
+    core.tick(at(9000), sink);
+    CHECK(query_flow(core, flow_of(1), 9001, 501).kind ==
+          agent_packet_kind::held);
+}
+
+TEST(packet_agent, late_packets_of_the_ended_flow_do_not_end_the_new_one) {
+    establish(flow_of(1), 0, 100);
+    close_flow(1);
+    open(flow_of(1), 1000);
+    close_flow(1001);
+    core.handle_backend(at(1002), opening_reply_of(flow_of(1), 500), sink);
+    forward(flow_of(1), 501, 1003);
+    core.tick(at(1100), sink);
+    core.tick(at(9000), sink);
+    CHECK(query_flow(core, flow_of(1), 9001, 501).kind ==
+          agent_packet_kind::held);
+}
--- a/packages/core/tests/rs_packet_balancer_test.cpp
+++ b/packages/core/tests/rs_packet_balancer_test.cpp
@@ -343,3 +343,36 @@
     CHECK(sink.last_reason_of(packet_event::opening_abandoned) ==
           refusal::unanswered);
 }
+
+// Openings from a port that a closed flow had used went only to the agent of
+// that flow, even if it declined them.
+TEST(packet_balancer, opening_declined_by_the_cached_agent_goes_to_another) {
+    auto const first = open(flow_of(1), 0);
+    reply_held(first, flow_of(1), 1);
+    sink.clear();
+    CHECK(open(flow_of(1), 2000) == first);
+    reply_declined(first, flow_of(1), refusal::draining, 2001);
+    CHECK_EQUAL(2, sink.count(agent_packet_kind::open));
+    CHECK(sink.sent.back().to != first);
+    reply_held(sink.sent.back().to, flow_of(1), 2002, 500);
+    auto const second = sink.sent.back().to;
+    core.handle_caller(at(2003), caller_packet_of(flow_of(1), 501), sink);
+    CHECK(sink.sent.back().message.kind == agent_packet_kind::forward);
+    CHECK(sink.sent.back().to == second);
+}
+
+// The agent of an open flow that has restarted takes a late copy of its opening
+// for a new one.
+TEST(
+    packet_balancer, opening_declined_by_cached_and_all_agents_resets_nothing) {
+    auto const first = open(flow_of(1), 0);
+    reply_held(first, flow_of(1), 1);
+    open(flow_of(1), 600);
+    for (int n = 0; n != 3; ++n)
+        reply_declined(
+            sink.sent.back().to, flow_of(1), refusal::draining, 601 + n);
+    CHECK_EQUAL(4, sink.count(agent_packet_kind::open));
+    for (int ms = 620; ms <= 3000; ms += 20)
+        core.tick(at(ms), sink);
+    CHECK(sink.resets.empty());
+}
