Request no lists of other services once no search needs them

What callers saw: nothing; a request for lists went to all agents although both flows searched for had been found before it was due.

Cause: the due time outlived the searches that had set it.

Red before the fix: packet_other_services, no_lists_are_requested_after_the_last_search: CHECK(sink.sent.empty()) failed

Change: the request, when due, is sent only if a search is left that needs it.

--- a/packages/core/include/radishspread/core/internal/rs_packet_reassigned_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_reassigned_impl.hpp
@@ -3,6 +3,8 @@
 
 #include <radishspread/core/rs_packet_balancer.hpp>
 
+#include <algorithm>
+
 namespace radishspread {
 
 // Lists are requested even for a single search: their number does not grow with
@@ -11,8 +13,12 @@
 // the member that follows.
 template <packet_sink Sink>
 void packet_balancer::request_reassigned_lists(instant now, Sink& sink) {
-    last_reassigned_list_at_ = now;
     reassigned_list_due_ = instant::max();
+    bool const is_needed = std::any_of(searches_.begin(), searches_.end(),
+        [](auto const& it) { return it.second.queries_other_services; });
+    if (!is_needed)
+        return;
+    last_reassigned_list_at_ = now;
     auto const number = reassigned_.start_request(view_.route_version());
     auto const needed = join_reassigned_lists(now, number);
     std::size_t requests = 0;
--- a/packages/core/tests/rs_packet_other_services_test.cpp
+++ b/packages/core/tests/rs_packet_other_services_test.cpp
@@ -164,6 +164,19 @@
     CHECK(sink.resets.empty());
 }
 
+// The request was sent to all agents although both flows had been found.
+TEST(packet_other_services, no_lists_are_requested_after_the_last_search) {
+    search_and_reject();
+    core.handle_caller(at(25), caller_packet_of(flow_of(2), 7), sink);
+    core.tick(at(40), sink);
+    reply_not_held_by_all(flow_of(2), 42);
+    for (std::uint16_t const n : {1, 2})
+        reply_held(agent_address(1), flow_of(n), 50);
+    sink.clear();
+    core.tick(at(100), sink);
+    CHECK(sink.sent.empty());
+}
+
 // Hosts of other services that do not restart after a power loss must not
 // block the resets for longer than those of the flow's own service.
 TEST(packet_other_services, unresponsive_agent_does_not_block_a_reset) {
