--- a/packages/core/include/radishspread/core/rs_packet_events.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_events.hpp
@@ -56,7 +56,7 @@
 inline constexpr std::uint16_t listen_failed = 1656;
 inline constexpr std::uint16_t lines_dropped = 1657;
 inline constexpr std::uint16_t limits_in_force = 1680;
-inline constexpr std::uint16_t last_words = 1681;
+inline constexpr std::uint16_t crash_report = 1681;
 inline constexpr std::uint16_t library_message = 1682;
 inline constexpr std::uint16_t read_given_up = 1660;
 inline constexpr std::uint16_t setting_clamped = 1683;
@@ -162,7 +162,7 @@
             "log lines left out; value: lines"},
         {packet_event::limits_in_force, severity::info,
             "version and limits in force"},
-        {packet_event::last_words, severity::error,
+        {packet_event::crash_report, severity::error,
             "process ends, the cause is printed; value: exit status or signal"},
         {packet_event::library_message, severity::warning,
             "message of a library"},
--- a/packages/runtime/include/radishspread/runtime/rs_caught_signals.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_caught_signals.hpp
@@ -15,8 +15,8 @@
 void ignore_write_signals();
 
 /// Limits the time from a caught SIGTERM or SIGINT to the end of the process,
-/// even if the event loop does not run: then the process leaves its last words
-/// and ends with `status`.
+/// even if the event loop does not run: then the process leaves its crash
+/// report and ends with `status`.
 void limit_stop(duration bound, int status);
 
 /// Descriptor that becomes readable with each caught signal; -1 if there is
--- a/packages/runtime/src/rs_caught_signals.cpp
+++ b/packages/runtime/src/rs_caught_signals.cpp
@@ -1,6 +1,6 @@
 #include <radishspread/runtime/rs_caught_signals.hpp>
 
-#include <radishspread/runtime/rs_last_words.hpp>
+#include <radishspread/runtime/rs_crash_report.hpp>
 
 #include <signal.h>
 #include <sys/eventfd.h>
@@ -48,7 +48,7 @@
 }
 
 void handle_stop_deadline(int) {
-    write_last_words("stop took longer than its deadline", stop_status);
+    write_crash_report("stop took longer than its deadline", stop_status);
     _exit(stop_status);
 }
 
--- a/packages/runtime/src/rs_last_words.cpp
+++ b/packages/runtime/src/rs_crash_report.cpp
@@ -1,4 +1,4 @@
-#include <radishspread/runtime/rs_last_words.hpp>
+#include <radishspread/runtime/rs_crash_report.hpp>
 
 #include <radishspread/core/rs_packet_events.hpp>
 #include <radishspread/runtime/rs_clock.hpp>
@@ -115,7 +115,7 @@
     cause.add(name_of_signal(number));
     if (!can_allocate())
         cause.add(" while allocations fail");
-    write_last_words(cause.view(), number);
+    write_crash_report(cause.view(), number);
     static_cast<void>(::raise(number));
 }
 
@@ -123,11 +123,11 @@
     try {
         if (auto const error = std::current_exception())
             std::rethrow_exception(error);
-        write_last_words("std::terminate without an exception", SIGABRT);
+        write_crash_report("std::terminate without an exception", SIGABRT);
     } catch (std::exception const& error) {
-        write_last_words(error.what(), SIGABRT);
+        write_crash_report(error.what(), SIGABRT);
     } catch (...) {
-        write_last_words("exception of an unknown type", SIGABRT);
+        write_crash_report("exception of an unknown type", SIGABRT);
     }
     std::abort();
 }
@@ -172,7 +172,7 @@
         cause.add(domain);
         cause.add(": ");
         cause.add(text);
-        write_last_words(cause.view(), SIGTRAP);
+        write_crash_report(cause.view(), SIGTRAP);
         allow_trap();
         return G_LOG_WRITER_HANDLED;
     }
@@ -188,7 +188,7 @@
 
 } // namespace
 
-void install_last_words() {
+void install_crash_handlers() {
     stack_t stack{};
     stack.ss_sp = handler_stack.data();
     stack.ss_size = handler_stack.size();
@@ -203,16 +203,16 @@
     g_log_set_writer_func(handle_library_message, nullptr, nullptr);
 }
 
-void name_last_words(std::string_view process) {
+void name_crash_reports(std::string_view process) {
     process_name = {};
     process_name.add(process);
 }
 
-void write_last_words(std::string_view cause, int status) noexcept {
+void write_crash_report(std::string_view cause, int status) noexcept {
     if (is_written.test_and_set())
         return;
     constexpr std::int64_t nanoseconds_per_ms = 1'000'000;
-    constexpr auto event = packet_event::last_words;
+    constexpr auto event = packet_event::crash_report;
     fixed_text<max_name + max_cause + 512> line;
     if (output_has_partial_line)
         line.add("\n");
--- a/packages/runtime/src/rs_line_writer.cpp
+++ b/packages/runtime/src/rs_line_writer.cpp
@@ -1,6 +1,6 @@
 #include <radishspread/runtime/rs_line_writer.hpp>
 
-#include <radishspread/runtime/rs_last_words.hpp>
+#include <radishspread/runtime/rs_crash_report.hpp>
 
 #include <algorithm>
 #include <cerrno>
--- a/packages/runtime/src/rs_packet_shell.cpp
+++ b/packages/runtime/src/rs_packet_shell.cpp
@@ -4,7 +4,7 @@
 #include <radishspread/config/rs_command_line.hpp>
 #include <radishspread/core/rs_packet_events.hpp>
 #include <radishspread/runtime/rs_caught_signals.hpp>
-#include <radishspread/runtime/rs_last_words.hpp>
+#include <radishspread/runtime/rs_crash_report.hpp>
 #include <radishspread/runtime/rs_metrics_server.hpp>
 #include <radishspread/runtime/rs_process_resources.hpp>
 #include <radishspread/wire/rs_agent_packet_codec.hpp>
