Bound what a page of many items costs in time and in memory

What callers saw: a balancer that was sent one message naming newer routes read a page of 26,000 members from its sender and answered nothing for the 96 s that were watched, nor SIGTERM. A store whose pages went on took 797 MB in 13 s.

Cause: each member that changed rebuilt all indexes of the view, and neither the names of a read nor the items of the view had a limit.

Change: the indexes are rebuilt by the first look-up after a change.

The tests were not run on the code before.

--- a/packages/core/include/radishspread/core/rs_fleet_view.hpp
+++ b/packages/core/include/radishspread/core/rs_fleet_view.hpp
@@ -92,6 +92,7 @@
         std::uint32_t service) const;
     /// Members of all services, as in `members_of`.
     [[nodiscard]] std::span<member const* const> members() const {
+        update_index();
         return all_members_;
     }
     /// The service's member at this address, or null; of several, one that is
@@ -114,6 +115,13 @@
     /// never.
     [[nodiscard]] instant restored_at(std::uint32_t domain) const;
 
+    /// Items with a new name that were ignored since the start because the view
+    /// had `max_items`.
+    [[nodiscard]] std::uint64_t ignored_items() const { return ignored_items_; }
+
+    /// Limit of the items in the view, including removed ones whose revisions
+    /// are retained. A source without end must not take all memory.
+    static constexpr std::size_t max_items = 1U << 16U;
     /// Announcements of backend servers that are removed without draining this
     /// close together are assumed to have expired in an outage.
     static constexpr duration expiry_window = std::chrono::seconds(1);
@@ -134,7 +142,8 @@
     /// Restores what the provisional item replaced.
     void restore(std::string const& name);
     void restore_routes();
-    void index_members();
+    /// Rebuilds the indexes if a member was added, replaced or deleted since.
+    void update_index() const;
     [[nodiscard]] route_set routes() const;
     [[nodiscard]] backend_announcement announcement_of(
         instant now, member const& it) const;
@@ -166,9 +175,14 @@
     std::optional<replaced_routes> replaced_routes_;
     std::map<std::string, held_revision, std::less<>> revisions_;
     std::map<std::string, member, std::less<>> members_;
-    std::vector<member const*> all_members_;
-    std::unordered_map<std::uint32_t, std::vector<member const*>> by_service_;
-    std::unordered_map<std::uint32_t, std::vector<member const*>> by_host_;
+    // Rebuilt by the first look-up after a change: once for each change would
+    // take time in proportion to the square of a page's items.
+    mutable bool is_index_outdated_ = false;
+    mutable std::vector<member const*> all_members_;
+    mutable std::unordered_map<std::uint32_t, std::vector<member const*>>
+        by_service_;
+    mutable std::unordered_map<std::uint32_t, std::vector<member const*>>
+        by_host_;
     instant next_prune_at_;
     std::map<std::string, std::uint32_t, std::less<>> domains_out_;
     std::map<std::uint32_t, instant> restored_at_;
@@ -179,6 +193,7 @@
     bool is_reachable_ = true;
     instant reachable_since_;
     instant last_expiry_at_; ///< Last removal without draining.
+    std::uint64_t ignored_items_ = 0;
 };
 
 } // namespace radishspread
--- a/packages/core/src/rs_fleet_view.cpp
+++ b/packages/core/src/rs_fleet_view.cpp
@@ -108,7 +108,7 @@
         members_[name] = *replaced.announced;
     else
         members_.erase(name);
-    index_members();
+    is_index_outdated_ = true;
 }
 
 void fleet_view::restore_routes() {
@@ -124,6 +124,10 @@
 bool fleet_view::merge(instant now, fleet_change const& change) {
     if (!is_newer(change))
         return false;
+    if (revisions_.size() >= max_items && !revisions_.contains(change.name)) {
+        ++ignored_items_;
+        return false;
+    }
     auto& held = revisions_[change.name];
     held = {.number = change.revision};
     auto const* routes = std::get_if<route_set>(&change.content);
@@ -167,7 +171,7 @@
             it.warmup_left > duration{0} ? now + it.warmup_left : instant{},
         .start_unix_ms = it.start_unix_ms,
         .announced_in = change.revision};
-    index_members();
+    is_index_outdated_ = true;
 }
 
 void fleet_view::remove(instant now, std::string const& name) {
@@ -258,7 +262,7 @@
                now - it.second.removal_effective_at > removed_member_limit;
     };
     if (std::erase_if(members_, is_expired) > 0)
-        index_members();
+        is_index_outdated_ = true;
     if (now < next_prune_at_)
         return;
     next_prune_at_ = now + std::chrono::minutes(1);
@@ -269,7 +273,9 @@
     });
 }
 
-void fleet_view::index_members() {
+void fleet_view::update_index() const {
+    if (!std::exchange(is_index_outdated_, false))
+        return;
     all_members_.clear();
     by_service_.clear();
     by_host_.clear();
@@ -309,6 +315,7 @@
 
 std::span<fleet_view::member const* const> fleet_view::members_of(
     std::uint32_t service) const {
+    update_index();
     auto const it = by_service_.find(service);
     if (it == by_service_.end())
         return {};
@@ -335,6 +342,7 @@
 
 std::span<fleet_view::member const* const> fleet_view::members_at(
     std::uint32_t host) const {
+    update_index();
     auto const it = by_host_.find(host);
     if (it == by_host_.end())
         return {};
--- a/packages/core/src/rs_item_follower.cpp
+++ b/packages/core/src/rs_item_follower.cpp
@@ -113,9 +113,9 @@
     }
     due_ = now;
     if (page.has_more) {
-        bool const goes_on = !page.changes.empty() &&
-                             page.changes.back().name > after_name_ &&
-                             ++pages_ < max_pages;
+        bool const goes_on =
+            !page.changes.empty() && page.changes.back().name > after_name_ &&
+            ++pages_ < max_pages && names_.size() < fleet_view::max_items;
         if (!goes_on)
             return give_up_read(now);
         after_name_ = page.changes.back().name;
--- a/packages/core/tests/rs_fleet_view_test.cpp
+++ b/packages/core/tests/rs_fleet_view_test.cpp
@@ -4,6 +4,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <ctime>
 #include <vector>
 
 using namespace radishspread;
@@ -199,3 +200,24 @@
     view.apply(at(0), change);
     CHECK(view.has_warmup_limit());
 }
+
+// A page of a peer with thousands of backend servers took the processor for
+// more than a minute, because each of them rebuilt all indexes.
+TEST(fleet_view, many_announcements_are_merged_in_linear_time) {
+    constexpr std::uint32_t count = 8000;
+    auto const begin = std::clock();
+    for (std::uint32_t n = 0; n != count; ++n)
+        view.apply(at(0), announcement_of(n, 10));
+    CHECK_EQUAL(count, view.members_of(test_service).size());
+    CHECK(std::clock() - begin < 2 * CLOCKS_PER_SEC);
+}
+
+// Pages of a store without end made the view grow until the process exceeded
+// its memory.
+TEST(fleet_view, items_beyond_the_limit_are_ignored) {
+    for (std::size_t n = 0; n != fleet_view::max_items + 5; ++n)
+        view.apply(
+            at(0), {.name = "backend/" + std::to_string(n), .revision = 10});
+    CHECK_EQUAL(5, view.ignored_items());
+    CHECK(view.apply(at(1), {.name = "backend/0", .revision = 11}));
+}
