Limit the senders that an agent notifies when it leaves

Change: at most 1,024 balancers, removed 10 s after their last message.

Evidence: senders_that_are_notified_are_limited; passes, not run before.

--- a/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
@@ -30,7 +30,7 @@
 void packet_agent::handle(instant now, endpoint from,
     agent_packet const& message, flow_packet const* packet, Sink& sink) {
     last_event_at_ = now;
-    balancers_[from] = now;
+    record_balancer(now, from);
     check_claim(now, from, message.route_version, sink);
     if (packet == nullptr)
         on_locate(now, from, message, sink);
@@ -298,13 +298,12 @@
 }
 
 template <packet_sink Sink> void packet_agent::stop(instant now, Sink& sink) {
-    constexpr auto balancer_age_limit = std::chrono::seconds(10);
     while (auto it = queue_.pop(now, service_time_)) {
         it->message.packet = it->packet;
         decline(now, it->balancer, it->message, refusal::draining, sink);
     }
     for (auto const& [to, last_received_at] : balancers_)
-        if (now - last_received_at < balancer_age_limit)
+        if (now - last_received_at < options_.balancer_age_limit)
             sink.send(to, {.kind = agent_packet_kind::leaving,
                               .service = options_.service,
                               .route_version = view_.route_version()});
--- a/packages/core/include/radishspread/core/rs_packet_agent.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_agent.hpp
@@ -151,6 +151,7 @@
     void apply_announcement(fleet_view::member const* self);
     /// Removes flows that have ended or are idle.
     void sweep(instant now);
+    void record_balancer(instant now, endpoint from);
     [[nodiscard]] internal::held_flow& insert(
         instant now, packet_flow const& flow);
 
--- a/packages/core/include/radishspread/core/rs_packet_agent_options.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_agent_options.hpp
@@ -16,6 +16,10 @@
     endpoint backend;          ///< Where the backend server receives packets.
     std::uint64_t start_unix_ms = 0; ///< Start of this process.
     std::size_t max_flows = 16384;
+    /// Balancers that are notified when the agent leaves.
+    std::size_t max_balancers = 1024;
+    /// A balancer without a message for this long is not notified.
+    duration balancer_age_limit = std::chrono::seconds(10);
     /// A flow without a packet for this long is removed.
     duration idle_limit = std::chrono::seconds(60);
     /// Entries of ended flows are retained this long for late packets.
--- a/packages/core/src/rs_packet_agent.cpp
+++ b/packages/core/src/rs_packet_agent.cpp
@@ -193,7 +193,20 @@
         is_table_complete_ = true;
 }
 
+// Any host can send messages, so the table has a limit. A balancer that is left
+// out is not notified when the agent leaves, and finds out by its own timeout.
+void packet_agent::record_balancer(instant now, endpoint from) {
+    auto const found = balancers_.find(from);
+    if (found != balancers_.end())
+        found->second = now;
+    else if (balancers_.size() < options_.max_balancers)
+        balancers_.emplace(from, now);
+}
+
 void packet_agent::sweep(instant now) {
+    std::erase_if(balancers_, [&](auto const& it) {
+        return now - it.second >= options_.balancer_age_limit;
+    });
     for (auto entry = flows_.begin(); entry != flows_.end();) {
         auto& it = entry->second;
         auto const age = now - it.last_packet_at;
--- a/packages/core/tests/rs_packet_agent_test.cpp
+++ b/packages/core/tests/rs_packet_agent_test.cpp
@@ -225,3 +225,15 @@
     CHECK(query_flow(core, flow_of(1), 9001, 501).kind ==
           agent_packet_kind::held);
 }
+
+// Each sender of a message, also a forged one, got an entry that stayed, and a
+// message when the agent left.
+TEST(packet_agent, senders_that_are_notified_are_limited) {
+    packet_agent_options const defaults;
+    for (std::uint32_t n = 0; n != 5000; ++n)
+        core.handle(at(0), {.address = 0x0a000000 + n, .port = 7000},
+            {.kind = agent_packet_kind::list}, nullptr, sink);
+    sink.clear();
+    core.stop(at(1), sink);
+    CHECK_EQUAL(defaults.max_balancers, sink.count(agent_packet_kind::leaving));
+}
