--- a/packages/runtime/src/rs_caught_signals.cpp
+++ b/packages/runtime/src/rs_caught_signals.cpp
@@ -31,6 +31,7 @@
 /// Time to the end after a stop signal, in ms; 0: unlimited.
 std::atomic<std::int32_t> stop_bound_ms{0};
 std::atomic<int> stop_status{0};
+std::atomic<bool> has_stop_timer{false};
 static_assert(std::atomic<std::int32_t>::is_always_lock_free);
 
 // An interval timer of the process runs while the event loop does not, and
@@ -45,9 +46,15 @@
     // The first of several stop signals sets the deadline.
     if (!timerisset(&running.it_value))
         setitimer(ITIMER_REAL, &timer, nullptr);
+    has_stop_timer = true;
 }
 
 void handle_stop_deadline(int) {
+    // Another process may send the signal too; the timer still runs then.
+    itimerval running{};
+    getitimer(ITIMER_REAL, &running);
+    if (!has_stop_timer || timerisset(&running.it_value))
+        return;
     write_crash_report("stop took longer than its deadline", stop_status);
     _exit(stop_status);
 }
