--- a/packages/runtime/include/radishspread/runtime/rs_item_source.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_item_source.hpp
@@ -4,6 +4,7 @@
 #include <radishspread/core/rs_item_follower.hpp>
 #include <radishspread/core/rs_packet_events.hpp>
 #include <radishspread/core/rs_packet_log.hpp>
+#include <radishspread/runtime/rs_call_counters.hpp>
 #include <radishspread/runtime/rs_configuration_client.hpp>
 #include <radishspread/runtime/rs_packet_platform.hpp>
 #include <radishspread/wire/rs_item_codec.hpp>
@@ -45,6 +46,8 @@
         client_.budget().take(now);
         is_peer_call_ = call->peer.is_set();
         is_watch_call_ = call->is_watch;
+        if (counters != nullptr)
+            counters->count_start(kind());
         call_ = client_.get(is_peer_call_ ? call->peer : service_,
             is_peer_call_ ? peer_path_ : Platform::path_of(*call),
             now + call->timeout,
@@ -85,13 +88,38 @@
     /// Returns the current time; to be set before the first call.
     std::function<instant()> clock;
 
+    /// Counters of the calls; null: they are not counted.
+    call_counters* counters = nullptr;
+
 private:
+    /// Kind of the call that was started last.
+    [[nodiscard]] call_kind kind() const {
+        if (is_peer_call_)
+            return call_kind::peer;
+        return is_watch_call_ ? call_kind::watch : call_kind::read;
+    }
+
+    [[nodiscard]] static call_result result_of(
+        section_response const& reply, bool is_readable) {
+        constexpr std::uint16_t too_many_requests = 429;
+        constexpr std::uint16_t unavailable = 503;
+        if (is_readable)
+            return call_result::ok;
+        if (reply.code == std::errc::timed_out)
+            return call_result::timed_out;
+        bool const is_refused =
+            reply.status == too_many_requests || reply.status == unavailable;
+        return is_refused ? call_result::refused : call_result::failed;
+    }
+
     void handle_reply(section_response const& reply) {
         constexpr std::uint16_t gone = 410;
         constexpr std::uint16_t too_many_requests = 429;
         auto const now = clock();
         auto body = reply.body;
         auto const page = reply.is_ok() ? parse(body) : std::nullopt;
+        if (counters != nullptr)
+            counters->count_end(kind(), result_of(reply, page.has_value()));
         if (page)
             return merge_page(now, *page);
         if (reply.status == gone) {
@@ -125,7 +153,13 @@
         log_ignored_items(page);
         auto const previous_read_at = follower_.read_started();
         auto const given_up_reads = follower_.given_up_reads();
+        auto const ignored_items = view_.ignored_items();
         follower_.handle_page(now, page, view_);
+        if (view_.ignored_items() != ignored_items)
+            log_({.number = packet_event::item_ignored,
+                .value = static_cast<std::int64_t>(
+                    view_.ignored_items() - ignored_items),
+                .text = "view full"});
         if (follower_.given_up_reads() != given_up_reads)
             log_({.number = packet_event::read_given_up,
                 .value = static_cast<std::int64_t>(page.changes.size())});
--- a/packages/runtime/include/radishspread/runtime/rs_packet_shell.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_shell.hpp
@@ -88,6 +88,7 @@
     /// Tries again, and ends the process if an address stays taken.
     void retry_addresses();
     [[nodiscard]] bool is_open() const { return closed_addresses_.empty(); }
+    void add_server_gauges();
     void add_timers();
     void tick();
     void log_limits();
--- a/packages/runtime/include/radishspread/runtime/rs_view_sources.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_view_sources.hpp
@@ -25,7 +25,8 @@
         : shell_(shell), view_(view), prefixes_(std::move(prefixes)),
           client_({.service = shell.settings().configuration_service,
               .max_reply_size =
-                  max_reply_size(shell.settings().max_item_size)}) {
+                  max_reply_size(shell.settings().max_item_size)}),
+          counters_(shell.metrics()) {
         auto const& settings = shell.settings();
         for (auto const& it : settings.peers)
             if (it.address != settings.packet_address.address)
@@ -126,6 +127,7 @@
         out->clock = [this] {
             return shell_.update_clock();
         };
+        out->counters = &counters_;
         return out;
     }
 
@@ -174,6 +176,7 @@
     fleet_view& view_;
     std::vector<std::string> prefixes_;
     configuration_client client_;
+    call_counters counters_;
     std::vector<std::unique_ptr<source>> sources_;
     std::unique_ptr<source> members_reader_;
     std::size_t first_ = 0; ///< Index of the source that calls first.
--- a/packages/runtime/src/rs_packet_shell.cpp
+++ b/packages/runtime/src/rs_packet_shell.cpp
@@ -48,6 +48,21 @@
             "radishspread_events_total", "Events by number, see docs/events.md",
             "event=\"" + std::to_string(it.number) + '"'));
     add_resource_gauges(metrics_);
+    add_server_gauges();
+}
+
+void packet_shell::add_server_gauges() {
+    metrics_.add_gauge("radishspread_http_connections",
+        "Open connections of the HTTP server.",
+        [this] { return static_cast<double>(server_.connections()); });
+    metrics_.add_gauge("radishspread_http_refusals",
+        "Requests and connections that the HTTP server has refused.", [this] {
+            double sum = 0;
+            for (std::size_t n = 0; n != http_refusal_count; ++n)
+                sum += static_cast<double>(
+                    server_.refusals(static_cast<http_refusal>(n)));
+            return sum;
+        });
 }
 
 void packet_shell::log(packet_log const& event) {
