Give each call to the configuration service its own connection

Cause: a process ended by signal 11 while its store closed connections. If the other end closes a connection that is used again, libsoup repeats the call by itself, outside of our budget, and under load returns its result twice, which uses freed memory. An ended call also held its connection until the next tick.

Change: calls ask for a new connection and for its end; an ended call frees its stream at once.

--- a/packages/runtime/src/rs_configuration_call.cpp
+++ b/packages/runtime/src/rs_configuration_call.cpp
@@ -42,6 +42,12 @@
     // The store and the peers are named in the settings; a reply must not
     // choose where the next call goes.
     soup_message_add_flags(message_, SOUP_MESSAGE_NO_REDIRECT);
+    // If the other end closes a connection that is used again, libsoup repeats
+    // the call by itself, and may then return its result twice, which uses
+    // freed memory.
+    soup_message_add_flags(message_, SOUP_MESSAGE_NEW_CONNECTION);
+    soup_message_headers_replace(
+        soup_message_get_request_headers(message_), "Connection", "close");
     soup_session_send_async(session, message_, G_PRIORITY_DEFAULT, cancellable_,
         on_sent, new self_pointer(shared_from_this()));
 }
@@ -112,6 +118,8 @@
 void configuration_call::finish(std::error_code ec) {
     is_done_ = true;
     response_.code = ec;
+    // The connection ends with the stream; other calls may wait for it.
+    g_clear_object(&stream_);
     auto const callback = std::exchange(callback_, nullptr);
     if (callback)
         callback(response_);
--- a/packages/runtime/tests/rs_configuration_client_test.cpp
+++ b/packages/runtime/tests/rs_configuration_client_test.cpp
@@ -26,6 +26,9 @@
     std::string head;
     std::string tail;
     std::size_t requests = 0;
+    /// Closes the connection instead of the response to this request and all
+    /// later ones.
+    std::size_t first_unanswered = 1000;
 
     raw_server()
         : listener_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)) {
@@ -48,6 +51,7 @@
             clients_.push_back({.fd = std::move(fd)});
         for (auto& it : clients_)
             step(it);
+        std::erase_if(clients_, [](auto const& it) { return it.is_over; });
     }
 
     endpoint address;
@@ -58,13 +62,15 @@
         unique_fd fd;
         std::string rest;
         bool has_request = false;
+        bool is_over = false;
     };
 
     void step(client& it) {
         std::array<char, 4096> buf{};
         if (::recv(it.fd.get(), buf.data(), buf.size(), 0) > 0) {
             ++requests;
-            it.has_request = true;
+            it.is_over = requests >= first_unanswered;
+            it.has_request = !it.is_over;
             it.rest = head;
         }
         if (!it.has_request)
@@ -176,3 +182,33 @@
     CHECK_EQUAL(401, response->status);
     CHECK_EQUAL(1, server.requests);
 }
+
+// libsoup repeated a call by itself if the server had closed a connection that
+// it used again. The call was not counted by the budget, and a repeated call
+// that also ended in another way was freed twice.
+TEST(configuration_client, call_on_a_closed_connection_is_not_repeated) {
+    server.head = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+    server.first_unanswered = 2;
+    CHECK(call(std::chrono::seconds(2)));
+    CHECK(response->is_ok());
+    response.reset();
+    CHECK(call(std::chrono::seconds(2)));
+    CHECK(!response->is_ok());
+    CHECK_EQUAL(2, server.requests);
+}
+
+// A call that has ended held its connection until the next tick, and calls wait
+// if there are as many as connections.
+TEST(configuration_client, ended_calls_hold_no_connection) {
+    constexpr std::size_t more_than_connections = 8;
+    server.head = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+    std::size_t ended = 0;
+    for (std::size_t n = 0; n != more_than_connections; ++n)
+        client.get(server.address, "/read",
+            monotonic_now() + std::chrono::seconds(2),
+            [&](section_response const& it) { ended += it.is_ok() ? 1U : 0U; });
+    CHECK(test::run_until([&] {
+        server.step();
+        return ended == more_than_connections;
+    }));
+}
