Order the items of a restored configuration service by era and revision

Cause: a service that comes back from a backup gives its revisions out again. The view took the highest revision as in effect, so it ignored new changes with lower ones until the process restarted, followed a watch from a revision that stood for something else, and let the backup revert what had been accepted in the lost seconds.

Change: the header Store-Era orders before the revision, in the view, the lists for peers and the log. A higher era leads to a complete read, spread over all processes; a wrong one is given up. What the backup lacks stays in effect while its writers write it again, and no flow is reset meanwhile.

--- a/packages/core/include/radishspread/core/internal/rs_packet_search_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_search_impl.hpp
@@ -154,7 +154,7 @@
     if (!search.queries_other_services)
         query_other_services(now, search);
     if (!search.is_confirmed) {
-        if (!std::exchange(search.awaits_read, true))
+        if (!view_.is_settling(now) && !std::exchange(search.awaits_read, true))
             sink.refresh_members();
         return false;
     }
@@ -172,14 +172,20 @@
 
 // The holder of a flow that was open when the search started had been announced
 // by then, so a read that began later includes it. Agents that the read has
-// added are queried next.
+// added are queried next. A service that was restored from a backup may lack it
+// until it has been announced again.
 template <packet_sink Sink>
 void packet_balancer::confirm_rejections(
     instant now, instant read_started, Sink& sink) {
+    bool const is_conclusive = !view_.is_settling(read_started);
     for (auto entry = searches_.begin(); entry != searches_.end();) {
         auto& [flow, search] = *entry;
-        bool const is_newer =
+        bool const is_later =
             !search.is_confirmed && search.started_at < read_started;
+        // A later read is requested once the items are complete again.
+        if (is_later && !is_conclusive)
+            search.awaits_read = false;
+        bool const is_newer = is_later && is_conclusive;
         search.is_confirmed = search.is_confirmed || is_newer;
         bool const is_over =
             is_newer && reset_if_not_found(now, flow, search, sink);
--- a/packages/core/include/radishspread/core/rs_fleet_change.hpp
+++ b/packages/core/include/radishspread/core/rs_fleet_change.hpp
@@ -3,6 +3,7 @@
 
 #include <radishspread/core/rs_endpoint.hpp>
 #include <radishspread/core/rs_ids.hpp>
+#include <radishspread/core/rs_item_version.hpp>
 #include <radishspread/core/rs_time.hpp>
 
 #include <cstdint>
@@ -65,6 +66,11 @@
     std::variant<no_content, route_set, backend_announcement, domain_taken_out>
         content;
     bool is_unreadable = false; ///< The item exists, its content is unusable.
+    std::uint64_t era = 0;      ///< Of the revision, see `item_version`.
+
+    [[nodiscard]] item_version version() const {
+        return {.era = era, .revision = revision};
+    }
 };
 
 } // namespace radishspread
--- a/packages/core/include/radishspread/core/rs_fleet_view.hpp
+++ b/packages/core/include/radishspread/core/rs_fleet_view.hpp
@@ -1,6 +1,7 @@
 #ifndef RADISHSPREAD_CORE_RS_FLEET_VIEW_HPP
 #define RADISHSPREAD_CORE_RS_FLEET_VIEW_HPP
 
+#include <radishspread/core/internal/rs_source_era.hpp>
 #include <radishspread/core/rs_fleet_change.hpp>
 #include <radishspread/core/rs_time.hpp>
 
@@ -17,8 +18,9 @@
 namespace radishspread {
 
 /// One process's view of the shared configuration, merged item by item: the
-/// highest revision of an item is in effect, whatever the order of arrival and
-/// the source.
+/// highest version of an item is in effect, whatever the order of arrival and
+/// the source. After the service was restored from a backup, what it has lost
+/// stays in effect for the time in which its writers write it again.
 class fleet_view {
 public:
     /// A backend server that is announced or was removed recently.
@@ -30,22 +32,22 @@
         bool is_draining = false;
         instant cold_until;
         std::uint64_t start_unix_ms = 0;
-        revision announced_in = 0; ///< Revision of the announcement.
+        item_version announced_in; ///< Version of the announcement.
         bool is_removed = false;
         instant removal_effective_at; ///< May be in the future.
     };
 
-    /// True if the view has no revision of the item or an older one.
+    /// True if the view has no version of the item or an older one.
     [[nodiscard]] bool is_newer(fleet_change const& change) const;
 
-    /// Merges one item; false if the view has the same or a newer revision.
+    /// Merges one item; false if the view has the same or a newer version.
     bool apply(instant now, fleet_change const& change);
 
     /// Merges all items of a peer whose names begin with `prefix`. They are
     /// provisional: in effect until the source of the items confirms each with
     /// `apply` or `settle` drops it.
     void apply_peer(instant now, std::string_view prefix,
-        std::span<fleet_change const> changes, revision as_of);
+        std::span<fleet_change const> changes, item_version as_of);
 
     /// Restores what was in effect before those provisional items with the
     /// prefix that a reply of the source, requested at `requested_at`, has not
@@ -56,11 +58,31 @@
         return !replaced_.empty();
     }
 
-    /// Ends a complete read, as of revision `as_of`, of all items whose names
+    /// Ends a complete read, as of version `as_of`, of all items whose names
     /// begin with `prefix`: removes the items that are not in `names` unless
-    /// their revision is higher.
+    /// their version is higher.
     void finish_read(instant now, std::string_view prefix,
-        std::set<std::string, std::less<>> const& names, revision as_of);
+        std::set<std::string, std::less<>> const& names, item_version as_of);
+
+    /// Records the era that a reply of the service names; the call began at
+    /// `call_started_at`. An outdated reply must not be merged.
+    internal::era_finding observe_era(
+        instant now, instant call_started_at, std::uint64_t era);
+
+    [[nodiscard]] internal::source_era const& era() const { return era_; }
+
+    /// True if writers may not have written again by `time` what a restored
+    /// service has lost, so that its items do not show all backend servers.
+    [[nodiscard]] bool is_settling(instant time) const {
+        return era_.changed_at() != instant{} &&
+               time < era_.changed_at() + expiry_grace_period;
+    }
+
+    /// Changes of a restored service that were not used so far because the
+    /// items were newer before.
+    [[nodiscard]] std::uint64_t deferred_changes() const {
+        return deferred_changes_;
+    }
 
     /// Sets whether the source of the items is reachable. While it is not, and
     /// for `expiry_grace_period` after, removed backend servers stay eligible:
@@ -131,6 +153,11 @@
     static constexpr duration removed_revision_limit = std::chrono::hours(2);
     static constexpr duration expiry_grace_period =
         std::chrono::milliseconds(2500);
+    /// Time in which a backend server that lives announces itself again, and
+    /// the announcement of one that has left expires.
+    static constexpr duration announcer_rewrite_limit = std::chrono::seconds(5);
+    /// Time in which operators write again what a restored service has lost.
+    static constexpr duration operator_rewrite_limit = std::chrono::seconds(60);
 
 private:
     void apply_routes(std::string const& name, route_set const& value);
@@ -138,6 +165,8 @@
         backend_announcement const& it);
     void remove(instant now, std::string const& name);
     bool merge(instant now, fleet_change const& change);
+    void set_content(instant now, fleet_change const& change);
+    void apply_deferred(instant now);
     void apply_provisional(instant now, fleet_change const& change);
     /// Restores what the provisional item replaced.
     void restore(std::string const& name);
@@ -148,16 +177,37 @@
     [[nodiscard]] backend_announcement announcement_of(
         instant now, member const& it) const;
 
-    /// Newest revision of an item.
-    struct held_revision {
-        radishspread::revision number = 0;
-        instant removed_at; ///< Default: the item exists.
+    /// Newest version of an item.
+    struct held_version {
+        item_version number;
+        /// Revision of the content before the last change; 0: none.
+        revision previous = 0;
+        std::uint64_t previous_start = 0; ///< Of the backend server in it.
+        instant removed_at;               ///< Default: the item exists.
+    };
+
+    /// A change of a restored service that takes effect at `due`, unless the
+    /// item changes before.
+    struct deferred_change {
+        fleet_change change;
+        instant due;
     };
 
+    /// True if the service, in a later era than that of `held`, returns a state
+    /// of the item that the view has seen replaced.
+    [[nodiscard]] bool is_older_state(
+        held_version const& held, fleet_change const& change) const;
+    /// True if the service returns the announcement in effect in a later era.
+    [[nodiscard]] bool is_same_content(
+        held_version const& held, fleet_change const& change) const;
+    void record_previous(held_version& held, std::string const& name) const;
+    void defer(instant now, held_version& held, fleet_change const& change);
+
     /// What a provisional item replaced.
     struct replaced_item {
         instant received_at; ///< Of the first provisional item.
-        std::optional<held_revision> held;
+        std::optional<held_version> held;
+        std::optional<deferred_change> deferred;
         std::optional<member> announced;
         std::optional<std::uint32_t> domain_out;
         bool has_routes = false; ///< The provisional item has routes.
@@ -173,7 +223,10 @@
 
     std::map<std::string, replaced_item, std::less<>> replaced_;
     std::optional<replaced_routes> replaced_routes_;
-    std::map<std::string, held_revision, std::less<>> revisions_;
+    std::map<std::string, held_version, std::less<>> versions_;
+    std::map<std::string, deferred_change, std::less<>> deferred_;
+    std::uint64_t deferred_changes_ = 0;
+    internal::source_era era_;
     std::map<std::string, member, std::less<>> members_;
     // Rebuilt by the first look-up after a change: once for each change would
     // take time in proportion to the square of a page's items.
--- a/packages/core/include/radishspread/core/rs_item_follower.hpp
+++ b/packages/core/include/radishspread/core/rs_item_follower.hpp
@@ -68,6 +68,15 @@
     /// rejected by rate limiting.
     void handle_failure(instant now, bool is_outage, fleet_view& view);
 
+    /// Drops a watch, or a read that has begun, in another era than that of the
+    /// view, and reads everything again. True if the driver should cancel its
+    /// call.
+    bool follow_era(instant now, fleet_view const& view);
+
+    /// Reads after a change of the era begin within this time, so that not all
+    /// processes call the service at once.
+    void set_era_read_spread(duration value) { era_read_spread_ = value; }
+
     /// Drops the outstanding call and reads everything again, at most once per
     /// `restart_interval`. True if the driver should cancel its call.
     bool restart(instant now);
@@ -101,6 +110,8 @@
     }
     /// Revision up to which the view is complete.
     [[nodiscard]] revision as_of() const { return after_; }
+    /// Era of the service's last reply that was used.
+    [[nodiscard]] std::uint64_t era() const { return era_; }
     /// Time of the last reply from the configuration service.
     [[nodiscard]] instant last_reply_at() const { return last_reply_at_; }
     /// True if a complete read has ended since the start or last restart.
@@ -116,6 +127,9 @@
     bool handle_read(instant now, item_page const& page, fleet_view& view);
     bool handle_peer(instant now, item_page const& page, fleet_view& view);
     void handle_watch(instant now, item_page const& page, fleet_view& view);
+    /// True if the reply cannot be used because of its era.
+    bool is_of_other_era(instant now, item_page const& page, fleet_view& view);
+    void read_in_new_era(instant now);
     /// Drops a read whose pages do not go on or have no end; returns false.
     bool give_up_read(instant now);
     void begin_read(instant now);
@@ -140,6 +154,8 @@
     endpoint peer_;       ///< Of the last call; unset: the service.
     endpoint newer_peer_; ///< To be read from next.
     std::string after_name_;
+    std::uint64_t era_ = 0; ///< Of the last page used.
+    duration era_read_spread_{0};
     revision read_from_ = 0; ///< Revision of the first page of the read.
     revision after_ = 0;
     std::set<std::string, std::less<>> names_; ///< Items of the read so far.
--- a/packages/core/include/radishspread/core/rs_item_page.hpp
+++ b/packages/core/include/radishspread/core/rs_item_page.hpp
@@ -3,6 +3,8 @@
 
 #include <radishspread/core/rs_fleet_change.hpp>
 
+#include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -14,6 +16,11 @@
     revision as_of = 0;      ///< Revision up to which the reply is complete.
     bool has_more = false;   ///< Read: more items follow the last one.
     std::size_t unnamed = 0; ///< Items left out: no name or no revision.
+    std::uint64_t era = 0;   ///< Of `as_of`, see `item_version`.
+
+    [[nodiscard]] item_version version() const {
+        return {.era = era, .revision = as_of};
+    }
 };
 
 } // namespace radishspread
--- a/packages/core/include/radishspread/core/rs_packet_events.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_events.hpp
@@ -47,6 +47,8 @@
 inline constexpr std::uint16_t history_lost = 1646;
 inline constexpr std::uint16_t read_failed = 1647;
 inline constexpr std::uint16_t reply_too_large = 1648;
+inline constexpr std::uint16_t source_restored = 1649;
+inline constexpr std::uint16_t item_deferred = 1661;
 inline constexpr std::uint16_t process_started = 1650;
 inline constexpr std::uint16_t process_stopping = 1651;
 inline constexpr std::uint16_t process_stopped = 1652;
@@ -61,7 +63,7 @@
 inline constexpr std::uint16_t read_given_up = 1660;
 inline constexpr std::uint16_t setting_clamped = 1683;
 inline constexpr std::uint16_t address_opened = 1684;
-inline constexpr std::size_t count = 50;
+inline constexpr std::size_t count = 52;
 
 } // namespace packet_event
 
@@ -145,6 +147,12 @@
         {packet_event::reply_too_large, severity::warning,
             "reply to a watch of the configuration service too large; reading "
             "all items"},
+        {packet_event::source_restored, severity::warning,
+            "era of the configuration service changed, it may have been "
+            "restored from a backup; reading all items; value: era"},
+        {packet_event::item_deferred, severity::warning,
+            "configuration items not used for now: the service returns an "
+            "older state; value: items"},
         {packet_event::process_started, severity::info, "process started"},
         {packet_event::process_stopping, severity::info,
             "graceful shutdown started; value: flows"},
--- a/packages/core/include/radishspread/core/rs_packet_log.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_log.hpp
@@ -22,6 +22,7 @@
     std::int64_t value = 0;    ///< Meaning depends on the event.
     std::int64_t age_ms = -1;  ///< Age of the input; -1: not applicable.
     std::string_view text;     ///< Item name; valid during the call.
+    item_version item;         ///< Of a changed item.
 };
 
 /// Log event for a changed item; its `text` refers to `change`.
--- a/packages/core/src/rs_fleet_view.cpp
+++ b/packages/core/src/rs_fleet_view.cpp
@@ -23,8 +23,8 @@
 } // namespace
 
 bool fleet_view::is_newer(fleet_change const& change) const {
-    auto const it = revisions_.find(change.name);
-    return it == revisions_.end() || change.revision > it->second.number;
+    auto const it = versions_.find(change.name);
+    return it == versions_.end() || change.version() > it->second.number;
 }
 
 // The word of the source counts, whatever a peer has returned meanwhile.
@@ -37,7 +37,7 @@
 }
 
 void fleet_view::apply_peer(instant now, std::string_view prefix,
-    std::span<fleet_change const> changes, revision as_of) {
+    std::span<fleet_change const> changes, item_version as_of) {
     std::set<std::string_view> names;
     for (auto const& it : changes) {
         if (!it.name.starts_with(prefix))
@@ -46,13 +46,14 @@
         apply_provisional(now, it);
     }
     std::vector<std::string> removed;
-    for (auto it = revisions_.lower_bound(prefix);
-         it != revisions_.end() && it->first.starts_with(prefix); ++it)
+    for (auto it = versions_.lower_bound(prefix);
+         it != versions_.end() && it->first.starts_with(prefix); ++it)
         if (it->second.removed_at == instant{} && it->second.number < as_of &&
             !names.contains(it->first))
             removed.push_back(it->first);
     for (auto const& name : removed)
-        apply_provisional(now, {.name = name, .revision = as_of});
+        apply_provisional(
+            now, {.name = name, .revision = as_of.revision, .era = as_of.era});
 }
 
 void fleet_view::apply_provisional(instant now, fleet_change const& change) {
@@ -62,9 +63,10 @@
     auto& replaced = entry->second;
     if (is_new) {
         replaced.received_at = now;
-        if (auto const it = revisions_.find(change.name);
-            it != revisions_.end())
+        if (auto const it = versions_.find(change.name); it != versions_.end())
             replaced.held = it->second;
+        if (auto const it = deferred_.find(change.name); it != deferred_.end())
+            replaced.deferred = it->second;
         if (auto const it = members_.find(change.name); it != members_.end())
             replaced.announced = it->second;
         if (auto const it = domains_out_.find(change.name);
@@ -97,9 +99,13 @@
     if (replaced.has_routes)
         restore_routes();
     if (replaced.held)
-        revisions_[name] = *replaced.held;
+        versions_[name] = *replaced.held;
     else
-        revisions_.erase(name);
+        versions_.erase(name);
+    if (replaced.deferred)
+        deferred_[name] = *replaced.deferred;
+    else
+        deferred_.erase(name);
     if (replaced.domain_out)
         domains_out_[name] = *replaced.domain_out;
     else
@@ -124,12 +130,29 @@
 bool fleet_view::merge(instant now, fleet_change const& change) {
     if (!is_newer(change))
         return false;
-    if (revisions_.size() >= max_items && !revisions_.contains(change.name)) {
+    if (versions_.size() >= max_items && !versions_.contains(change.name)) {
         ++ignored_items_;
         return false;
     }
-    auto& held = revisions_[change.name];
-    held = {.number = change.revision};
+    auto& held = versions_[change.name];
+    if (is_older_state(held, change)) {
+        defer(now, held, change);
+        return true;
+    }
+    deferred_.erase(change.name);
+    if (is_same_content(held, change)) {
+        held.number = change.version();
+        return true;
+    }
+    record_previous(held, change.name);
+    held.number = change.version();
+    bool const is_removal = std::holds_alternative<no_content>(change.content);
+    held.removed_at = is_removal ? now : instant{};
+    set_content(now, change);
+    return true;
+}
+
+void fleet_view::set_content(instant now, fleet_change const& change) {
     auto const* routes = std::get_if<route_set>(&change.content);
     auto const* backend = std::get_if<backend_announcement>(&change.content);
     auto const* domain = std::get_if<domain_taken_out>(&change.content);
@@ -140,10 +163,85 @@
     } else if (domain != nullptr) {
         domains_out_[change.name] = domain->domain;
     } else {
-        held.removed_at = now;
         remove(now, change.name);
     }
-    return true;
+}
+
+// A restored service returns each item in a new era. What it says of the time
+// that a backend server stays cold was written long ago.
+bool fleet_view::is_same_content(
+    held_version const& held, fleet_change const& change) const {
+    auto const* backend = std::get_if<backend_announcement>(&change.content);
+    auto const it = members_.find(change.name);
+    if (change.era <= held.number.era ||
+        change.revision != held.number.revision || backend == nullptr ||
+        it == members_.end())
+        return false;
+    auto const& announced = it->second;
+    return !announced.is_removed && announced.service == backend->service &&
+           announced.domain == backend->domain &&
+           announced.backend == backend->backend &&
+           announced.slots == backend->slots &&
+           announced.is_draining == backend->is_draining &&
+           announced.start_unix_ms == backend->start_unix_ms;
+}
+
+void fleet_view::record_previous(
+    held_version& held, std::string const& name) const {
+    if (held.removed_at != instant{})
+        return;
+    auto const it = members_.find(name);
+    held.previous = held.number.revision;
+    held.previous_start = it == members_.end() ? 0 : it->second.start_unix_ms;
+}
+
+// A backup may also have a state between those that the view has seen. A
+// backend server that drains does not take up its work again, and one that was
+// removed announces itself anew, so their start tells.
+bool fleet_view::is_older_state(
+    held_version const& held, fleet_change const& change) const {
+    if (change.era <= held.number.era ||
+        change.revision >= held.number.revision ||
+        std::holds_alternative<no_content>(change.content))
+        return false;
+    auto const* backend = std::get_if<backend_announcement>(&change.content);
+    auto const start = backend == nullptr ? 0 : backend->start_unix_ms;
+    if (change.revision == held.previous && start == held.previous_start)
+        return true;
+    auto const it = members_.find(change.name);
+    if (backend == nullptr || it == members_.end() ||
+        it->second.start_unix_ms != backend->start_unix_ms)
+        return false;
+    auto const& announced = it->second;
+    return announced.is_removed ||
+           (announced.is_draining && !backend->is_draining);
+}
+
+void fleet_view::defer(
+    instant now, held_version& held, fleet_change const& change) {
+    auto const* backend = std::get_if<backend_announcement>(&change.content);
+    bool const is_of_backend =
+        backend != nullptr || members_.contains(change.name);
+    auto const limit =
+        is_of_backend ? announcer_rewrite_limit : operator_rewrite_limit;
+    held.number = change.version();
+    deferred_[change.name] = {.change = change, .due = now + limit};
+    ++deferred_changes_;
+}
+
+void fleet_view::apply_deferred(instant now) {
+    for (auto it = deferred_.begin(); it != deferred_.end();) {
+        if (now < it->second.due) {
+            ++it;
+            continue;
+        }
+        auto const change = std::move(it->second.change);
+        it = deferred_.erase(it);
+        bool const is_removal =
+            std::holds_alternative<no_content>(change.content);
+        versions_[change.name].removed_at = is_removal ? now : instant{};
+        set_content(now, change);
+    }
 }
 
 // Routes are never replaced by an older version, even if that version comes in
@@ -170,7 +268,7 @@
         .cold_until =
             it.warmup_left > duration{0} ? now + it.warmup_left : instant{},
         .start_unix_ms = it.start_unix_ms,
-        .announced_in = change.revision};
+        .announced_in = change.version()};
     is_index_outdated_ = true;
 }
 
@@ -196,21 +294,47 @@
     last_expiry_at_ = now;
 }
 
+// What a restored service lacks may be written again: a failure domain stays
+// out meanwhile, and a backend server stays eligible while it may announce
+// itself again.
 void fleet_view::finish_read(instant now, std::string_view prefix,
-    std::set<std::string, std::less<>> const& names, revision as_of) {
-    for (auto it = revisions_.lower_bound(prefix);
-         it != revisions_.end() && it->first.starts_with(prefix); ++it) {
+    std::set<std::string, std::less<>> const& names, item_version as_of) {
+    for (auto it = versions_.lower_bound(prefix);
+         it != versions_.end() && it->first.starts_with(prefix); ++it) {
+        auto const& name = it->first;
         auto& held = it->second;
-        if (held.number > as_of || names.contains(it->first))
+        if (held.number > as_of || names.contains(name))
             continue;
+        bool const is_lost = held.number.era < as_of.era;
         held.number = as_of;
         if (held.removed_at != instant{})
             continue;
+        if (is_lost && domains_out_.contains(name)) {
+            defer(now, held,
+                {.name = name, .revision = as_of.revision, .era = as_of.era});
+            continue;
+        }
         held.removed_at = now;
-        remove(now, it->first);
+        remove(now, name);
+        if (auto const found = members_.find(name);
+            is_lost && found != members_.end())
+            found->second.removal_effective_at = now + expiry_grace_period;
     }
 }
 
+internal::era_finding fleet_view::observe_era(
+    instant now, instant call_started_at, std::uint64_t era) {
+    auto const found = era_.observe(now, call_started_at, era);
+    if (found != internal::era_finding::retracted)
+        return found;
+    // Nothing is known of the revisions of the right era.
+    deferred_.clear();
+    for (auto& [name, held] : versions_)
+        if (held.number.era > era)
+            held.number = {.era = era, .revision = 0};
+    return found;
+}
+
 void fleet_view::set_reachable(instant now, bool is_reachable) {
     if (is_reachable && !is_reachable_)
         reachable_since_ = now;
@@ -220,9 +344,11 @@
 std::vector<fleet_change> fleet_view::items(
     instant now, std::string_view prefix) const {
     std::vector<fleet_change> out;
-    for (auto it = revisions_.lower_bound(prefix);
-         it != revisions_.end() && it->first.starts_with(prefix); ++it) {
-        fleet_change item{.name = it->first, .revision = it->second.number};
+    for (auto it = versions_.lower_bound(prefix);
+         it != versions_.end() && it->first.starts_with(prefix); ++it) {
+        auto const number = it->second.number;
+        fleet_change item{
+            .name = it->first, .revision = number.revision, .era = number.era};
         auto const found = members_.find(item.name);
         auto const domain = domains_out_.find(item.name);
         if (item.name == routes_name_)
@@ -263,10 +389,11 @@
     };
     if (std::erase_if(members_, is_expired) > 0)
         is_index_outdated_ = true;
+    apply_deferred(now);
     if (now < next_prune_at_)
         return;
     next_prune_at_ = now + std::chrono::minutes(1);
-    std::erase_if(revisions_, [&](auto const& it) {
+    std::erase_if(versions_, [&](auto const& it) {
         auto const removed_at = it.second.removed_at;
         return removed_at != instant{} &&
                now - removed_at > removed_revision_limit;
--- a/packages/core/src/rs_item_follower.cpp
+++ b/packages/core/src/rs_item_follower.cpp
@@ -52,12 +52,49 @@
     last_reply_at_ = now;
     failures_ = 0;
     view.set_reachable(now, true);
+    if (is_of_other_era(now, page, view))
+        return false;
     if (!is_watching_)
         return handle_read(now, page, view);
     handle_watch(now, page, view);
     return true;
 }
 
+// In another era, a watch may leave out changes, and the pages read before say
+// nothing. The first page of a read is complete in its own era.
+bool item_follower::is_of_other_era(
+    instant now, item_page const& page, fleet_view& view) {
+    using internal::era_finding;
+    auto const found = view.observe_era(now, call_started_at_, page.era);
+    bool const is_first_page = !is_watching_ && after_name_.empty();
+    if (found == era_finding::outdated) {
+        is_watching_ = false;
+        begin_read(now);
+        due_ = now + pace_.delay_after_useless_reply();
+        return true;
+    }
+    if (std::exchange(era_, page.era) == page.era || is_first_page)
+        return false;
+    read_in_new_era(now);
+    return true;
+}
+
+bool item_follower::follow_era(instant now, fleet_view const& view) {
+    bool const is_first_page = !is_watching_ && after_name_.empty();
+    if (view.era().value() == era_ || is_first_page ||
+        (is_outstanding_ && peer_.is_set()))
+        return false;
+    bool const cancels = std::exchange(is_outstanding_, false);
+    read_in_new_era(now);
+    return cancels;
+}
+
+void item_follower::read_in_new_era(instant now) {
+    is_watching_ = false;
+    begin_read(now);
+    due_ = now + random_.up_to(era_read_spread_);
+}
+
 // A watch that was cut and one whose events are known end early too, so a
 // single such reply delays nothing.
 void item_follower::handle_watch(
@@ -86,7 +123,7 @@
 // The next call goes to the service again.
 bool item_follower::handle_peer(
     instant now, item_page const& page, fleet_view& view) {
-    view.apply_peer(now, options_.prefix, page.changes, page.as_of);
+    view.apply_peer(now, options_.prefix, page.changes, page.version());
     is_complete_ = is_complete_ || page.as_of > 0;
     confirms_peer_ = true;
     // The service is called next: at once, or with backoff if it has failed.
@@ -123,11 +160,12 @@
     }
     view.settle(read_started_, options_.prefix);
     confirms_peer_ = false;
-    view.finish_read(now, options_.prefix, names_, read_from_);
+    view.finish_read(
+        now, options_.prefix, names_, {.era = era_, .revision = read_from_});
     is_complete_ = true;
     bool const reads_again = std::exchange(is_read_requested_, false);
     is_watching_ = !reads_again && !options_.is_on_demand;
-    after_ = std::max(after_, read_from_);
+    after_ = read_from_;
     complete_read_started_at_ = read_started_;
     begin_read(now);
     if (options_.is_on_demand && !reads_again)
--- a/packages/core/src/rs_packet_log.cpp
+++ b/packages/core/src/rs_packet_log.cpp
@@ -20,9 +20,9 @@
 
 packet_log describe(fleet_change const& change) {
     packet_log out{.number = packet_event::member_changed,
-        .version = change.revision,
         .value = gone_bit,
-        .text = change.name};
+        .text = change.name,
+        .item = change.version()};
     if (auto const* it = std::get_if<route_set>(&change.content)) {
         out.number = packet_event::routes_applied;
         out.version = it->version;
--- a/packages/core/tests/rs_fleet_view_test.cpp
+++ b/packages/core/tests/rs_fleet_view_test.cpp
@@ -185,7 +185,7 @@
 TEST(fleet_view, complete_read_removes_older_items) {
     view.apply(at(0), announcement_of(1, 2));
     view.apply(at(1), {.name = "backend/1", .revision = 5});
-    view.finish_read(at(2), "backend/", {}, 100);
+    view.finish_read(at(2), "backend/", {}, {.revision = 100});
     CHECK(!view.apply(at(3), announcement_of(1, 50)));
 }
 
--- a/packages/runtime/include/radishspread/runtime/internal/rs_configuration_call.hpp
+++ b/packages/runtime/include/radishspread/runtime/internal/rs_configuration_call.hpp
@@ -7,6 +7,7 @@
 #include <libsoup/soup.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -19,9 +20,9 @@
     : public std::enable_shared_from_this<configuration_call> {
 public:
     /// A reply of more than `max_reply_size` bytes ends with the error
-    /// `message_size`.
+    /// `message_size`. `era_header` names a header with a number; null: none.
     configuration_call(instant deadline, std::size_t max_reply_size,
-        response_callback callback);
+        char const* era_header, response_callback callback);
     ~configuration_call();
     configuration_call(configuration_call const&) = delete;
     configuration_call& operator=(configuration_call const&) = delete;
@@ -44,10 +45,13 @@
         GObject* source, GAsyncResult* result, gpointer data);
     void read_chunk();
     void read_headers();
+    /// The number in a header of the reply; 0 if it has none.
+    [[nodiscard]] std::uint64_t read_number(char const* header) const;
     void finish(std::error_code ec);
 
     instant deadline_;
     std::size_t max_reply_size_;
+    char const* era_header_;
     response_callback callback_;
     SoupMessage* message_ = nullptr;
     GInputStream* stream_ = nullptr;
--- a/packages/runtime/include/radishspread/runtime/rs_configuration_client.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_configuration_client.hpp
@@ -30,6 +30,8 @@
     duration watch_grace = std::chrono::seconds(2);
     /// A longer reply ends with the error `message_size`; in bytes.
     std::size_t max_reply_size = max_section_size;
+    /// Header with the era of the service, see `item_version`; null: none.
+    char const* era_header = nullptr;
     /// Limit of the calls that ask `budget` before they start.
     double calls_per_second = 40;
 };
--- a/packages/runtime/include/radishspread/runtime/rs_item_source.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_item_source.hpp
@@ -73,6 +73,17 @@
             client_.cancel(call_);
     }
 
+    /// Reads all items again if they are of another era than the view's.
+    void follow_era(instant now) {
+        if (follower_.follow_era(now, view_))
+            client_.cancel(call_);
+    }
+
+    /// See `item_follower::set_era_read_spread`.
+    void set_era_read_spread(duration value) {
+        follower_.set_era_read_spread(value);
+    }
+
     /// Collects changes for this long, starting with the next reply.
     void set_collect_interval(duration value) {
         follower_.set_collect_interval(value);
@@ -117,7 +128,9 @@
         constexpr std::uint16_t too_many_requests = 429;
         auto const now = clock();
         auto body = reply.body;
-        auto const page = reply.is_ok() ? parse(body) : std::nullopt;
+        auto page = reply.is_ok() ? parse(body) : std::nullopt;
+        if (page && !is_peer_call_)
+            set_era(*page, reply.era);
         if (counters != nullptr)
             counters->count_end(kind(), result_of(reply, page.has_value()));
         if (page)
@@ -145,6 +158,29 @@
                              : Platform::parse_page(body);
     }
 
+    static void set_era(item_page& page, std::uint64_t era) {
+        page.era = era;
+        for (auto& it : page.changes)
+            it.era = era;
+    }
+
+    /// Logs what the last page has changed besides its items.
+    void log_view_changes(std::uint64_t era, std::uint64_t ignored_items,
+        std::uint64_t deferred_changes) const {
+        if (view_.era().value() != era)
+            log_({.number = packet_event::source_restored,
+                .value = static_cast<std::int64_t>(view_.era().value())});
+        if (view_.ignored_items() != ignored_items)
+            log_({.number = packet_event::item_ignored,
+                .value = static_cast<std::int64_t>(
+                    view_.ignored_items() - ignored_items),
+                .text = "view full"});
+        if (view_.deferred_changes() != deferred_changes)
+            log_({.number = packet_event::item_deferred,
+                .value = static_cast<std::int64_t>(
+                    view_.deferred_changes() - deferred_changes)});
+    }
+
     void merge_page(instant now, item_page const& page) {
         if (follower_.failures() > 0 && !is_peer_call_)
             log_({.number = packet_event::source_recovered,
@@ -153,13 +189,11 @@
         log_ignored_items(page);
         auto const previous_read_at = follower_.read_started();
         auto const given_up_reads = follower_.given_up_reads();
+        auto const era = view_.era().value();
         auto const ignored_items = view_.ignored_items();
+        auto const deferred_changes = view_.deferred_changes();
         follower_.handle_page(now, page, view_);
-        if (view_.ignored_items() != ignored_items)
-            log_({.number = packet_event::item_ignored,
-                .value = static_cast<std::int64_t>(
-                    view_.ignored_items() - ignored_items),
-                .text = "view full"});
+        log_view_changes(era, ignored_items, deferred_changes);
         if (follower_.given_up_reads() != given_up_reads)
             log_({.number = packet_event::read_given_up,
                 .value = static_cast<std::int64_t>(page.changes.size())});
--- a/packages/runtime/include/radishspread/runtime/rs_packet_platform.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_platform.hpp
@@ -35,6 +35,9 @@
     { Platform::parse_page(body) } -> std::same_as<std::optional<item_page>>;
     // Prefixes of the names of the items to follow, backend servers last.
     { Platform::prefixes() } -> std::same_as<std::vector<std::string>>;
+    // Header with the era of a reply of the configuration service, see
+    // `item_version`; null: it sends none.
+    { Platform::era_header() } -> std::convertible_to<char const*>;
     // HTTP path that the fabric polls for the readiness of the process.
     { Platform::readiness_path() } -> std::convertible_to<char const*>;
 };
--- a/packages/runtime/include/radishspread/runtime/rs_section_response.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_section_response.hpp
@@ -16,6 +16,9 @@
     std::uint16_t status = 0;
     revision held = 0; ///< From the header `x-revision`.
     std::string tag;   ///< From the header `x-tag`; peers only.
+    /// From the header that `configuration_client_options` names; 0 if it is
+    /// missing or not a number.
+    std::uint64_t era = 0;
     std::string body;
 
     [[nodiscard]] bool is_ok() const { return !code && status == 200; }
--- a/packages/runtime/include/radishspread/runtime/rs_view_sources.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_view_sources.hpp
@@ -5,9 +5,11 @@
 #include <radishspread/runtime/rs_packet_shell.hpp>
 
 #include <algorithm>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace radishspread::runtime {
@@ -24,8 +26,8 @@
         duration member_collect_interval, page_callback const& on_page)
         : shell_(shell), view_(view), prefixes_(std::move(prefixes)),
           client_({.service = shell.settings().configuration_service,
-              .max_reply_size =
-                  max_reply_size(shell.settings().max_item_size)}),
+              .max_reply_size = max_reply_size(shell.settings().max_item_size),
+              .era_header = Platform::era_header()}),
           counters_(shell.metrics()) {
         auto const& settings = shell.settings();
         for (auto const& it : settings.peers)
@@ -52,6 +54,7 @@
     void tick(instant now) {
         client_.tick(now);
         client_.budget().set_limit(calls_per_second());
+        follow_era(now);
         start_due_calls(now);
     }
 
@@ -117,6 +120,33 @@
 private:
     using source = item_source<Platform>;
 
+    /// Lets the sources read again what they have of another era.
+    void follow_era(instant now) {
+        if (std::exchange(era_, view_.era().value()) == view_.era().value())
+            return;
+        for (auto const& it : sources_) {
+            it->set_era_read_spread(era_read_spread());
+            it->follow_era(now);
+        }
+        members_reader_->follow_era(now);
+    }
+
+    /// Time in which all processes can read all items within the rate of the
+    /// service, which other calls share.
+    [[nodiscard]] duration era_read_spread() const {
+        constexpr double reserve = 2;
+        auto const reads = static_cast<double>(processes() * sources_.size());
+        auto const& settings = shell_.settings();
+        return std::chrono::duration_cast<duration>(
+            std::chrono::duration<double>(
+                reserve * reads / std::max(settings.reads_per_second, 1.0)));
+    }
+
+    /// Processes known to share the service.
+    [[nodiscard]] std::size_t processes() const {
+        return view_.members().size() + shell_.settings().peers.size() + 1;
+    }
+
     [[nodiscard]] std::unique_ptr<source> make_source(
         item_follower_options& options, std::size_t n,
         page_callback const& on_page) {
@@ -138,9 +168,8 @@
     /// Limit of the calls of this process, which shares the service with the
     /// processes at the members' hosts, the peers and those not known yet.
     [[nodiscard]] double calls_per_second() const {
-        auto const& settings = shell_.settings();
-        return call_budget::share(settings.reads_per_second,
-            view_.members().size() + settings.peers.size() + 1);
+        return call_budget::share(
+            shell_.settings().reads_per_second, processes());
     }
 
     /// Limit of a reply in bytes. A page has about a mebibyte of items and may
@@ -164,10 +193,12 @@
         auto const& follower = sources_[n]->follower();
         // Only what the configuration service has confirmed is passed on.
         if (!follower.is_complete() || follower.as_of() == 0 ||
+            follower.era() != view_.era().value() ||
             view_.has_provisional_items())
             return {.status = unavailable};
         item_page const page{.changes = view_.items(shell_.now(), prefixes_[n]),
-            .as_of = follower.as_of()};
+            .as_of = follower.as_of(),
+            .era = follower.era()};
         return {.content_type = "application/json",
             .body = wire::encode_items(page)};
     }
@@ -180,6 +211,7 @@
     std::vector<std::unique_ptr<source>> sources_;
     std::unique_ptr<source> members_reader_;
     std::size_t first_ = 0; ///< Index of the source that calls first.
+    std::uint64_t era_ = 0; ///< Followed by the sources.
 };
 
 } // namespace radishspread::runtime
--- a/packages/runtime/src/rs_configuration_call.cpp
+++ b/packages/runtime/src/rs_configuration_call.cpp
@@ -26,10 +26,12 @@
 
 } // namespace
 
-configuration_call::configuration_call(
-    instant deadline, std::size_t max_reply_size, response_callback callback)
+configuration_call::configuration_call(instant deadline,
+    std::size_t max_reply_size, char const* era_header,
+    response_callback callback)
     : deadline_(deadline), max_reply_size_(max_reply_size),
-      callback_(std::move(callback)), cancellable_(g_cancellable_new()) {}
+      era_header_(era_header), callback_(std::move(callback)),
+      cancellable_(g_cancellable_new()) {}
 
 configuration_call::~configuration_call() {
     g_clear_object(&stream_);
@@ -81,10 +83,18 @@
 void configuration_call::read_headers() {
     response_.status =
         static_cast<std::uint16_t>(soup_message_get_status(message_));
+    response_.held = read_number("X-Revision");
+    if (era_header_ != nullptr)
+        response_.era = read_number(era_header_);
+}
+
+std::uint64_t configuration_call::read_number(char const* header) const {
+    std::uint64_t out = 0;
     auto const* text = soup_message_headers_get_one(
-        soup_message_get_response_headers(message_), "X-Revision");
+        soup_message_get_response_headers(message_), header);
     if (text != nullptr)
-        std::from_chars(text, text + std::strlen(text), response_.held);
+        std::from_chars(text, text + std::strlen(text), out);
+    return out;
 }
 
 void configuration_call::read_chunk() {
--- a/packages/runtime/src/rs_configuration_client.cpp
+++ b/packages/runtime/src/rs_configuration_client.cpp
@@ -35,8 +35,8 @@
 
 std::shared_ptr<configuration_call> configuration_client::start(endpoint from,
     std::string const& path, instant deadline, response_callback callback) {
-    auto call = std::make_shared<configuration_call>(
-        deadline, options_.max_reply_size, std::move(callback));
+    auto call = std::make_shared<configuration_call>(deadline,
+        options_.max_reply_size, options_.era_header, std::move(callback));
     call->start(session_, "http://" + to_string(from) + path);
     return call;
 }
--- a/packages/runtime/src/rs_packet_event_log.cpp
+++ b/packages/runtime/src/rs_packet_event_log.cpp
@@ -41,6 +41,11 @@
     if (event.version != 0)
         add_number(
             out, "routes_version", static_cast<std::int64_t>(event.version));
+    if (event.item.revision != 0) {
+        add_number(out, "era", static_cast<std::int64_t>(event.item.era));
+        add_number(
+            out, "revision", static_cast<std::int64_t>(event.item.revision));
+    }
     if (event.age_ms >= 0)
         add_number(out, "age_ms", event.age_ms);
     if (!event.text.empty())
--- a/packages/runtime/tests/rs_configuration_client_test.cpp
+++ b/packages/runtime/tests/rs_configuration_client_test.cpp
@@ -109,8 +109,9 @@
     static constexpr std::size_t max_reply_size = 1U << 20U;
     raw_server server;
     raw_server elsewhere;
-    configuration_client client{
-        {.service = server.address, .max_reply_size = max_reply_size}};
+    configuration_client client{{.service = server.address,
+        .max_reply_size = max_reply_size,
+        .era_header = "Era"}};
     std::optional<section_response> response;
 
     /// Cancelled calls are freed by the main loop.
@@ -212,3 +213,15 @@
         return ended == more_than_connections;
     }));
 }
+
+TEST(configuration_client, era_of_a_reply_comes_from_its_header) {
+    server.head = "HTTP/1.1 200 OK\r\nEra: 12\r\nContent-Length: 2\r\n\r\n{}";
+    CHECK(call(std::chrono::seconds(2)));
+    CHECK_EQUAL(12, response->era);
+}
+
+TEST(configuration_client, reply_without_a_number_as_era_has_era_0) {
+    server.head = "HTTP/1.1 200 OK\r\nEra: new\r\nContent-Length: 2\r\n\r\n{}";
+    CHECK(call(std::chrono::seconds(2)));
+    CHECK_EQUAL(0, response->era);
+}
--- a/packages/runtime/tests/rs_item_source_test.cpp
+++ b/packages/runtime/tests/rs_item_source_test.cpp
@@ -39,6 +39,7 @@
             .as_of = 1};
     }
     static std::vector<std::string> prefixes() { return {"backend/"}; }
+    static char const* era_header() { return "Era"; }
     static char const* readiness_path() { return "/ready"; }
 };
 
--- a/packages/wire/src/rs_item_codec.cpp
+++ b/packages/wire/src/rs_item_codec.cpp
@@ -173,9 +173,15 @@
         .start_unix_ms = from.number("born")};
 }
 
+// Processes of an earlier version send none.
+std::uint64_t read_era(object_reader& from) {
+    return from.has("era") ? from.number("era") : 0;
+}
+
 fleet_change read_item(object_reader& from) {
-    fleet_change out{
-        .name = from.text("name"), .revision = from.number("revision")};
+    fleet_change out{.name = from.text("name"),
+        .revision = from.number("revision"),
+        .era = read_era(from)};
     if (from.has("routes"))
         out.content = read_routes(from);
     else if (from.has("backend"))
@@ -193,6 +199,7 @@
     json_writer out(buf);
     out.StartObject();
     write_number(out, "as_of", page.as_of);
+    write_number(out, "era", page.era);
     out.Key("items");
     out.StartArray();
     for (auto const& it : page.changes) {
@@ -200,6 +207,7 @@
         out.Key("name");
         out.String(it.name.c_str());
         write_number(out, "revision", it.revision);
+        write_number(out, "era", it.era);
         std::visit(
             [&](auto const& value) { write_content(out, value); }, it.content);
         out.EndObject();
@@ -214,7 +222,7 @@
     if (!parse_bounded_json(parsed, text))
         return std::nullopt;
     object_reader reader(parsed);
-    item_page page{.as_of = reader.number("as_of")};
+    item_page page{.as_of = reader.number("as_of"), .era = read_era(reader)};
     reader.each("items",
         [&](object_reader& it) { page.changes.push_back(read_item(it)); });
     if (!reader.is_valid())
