--- a/packages/core/include/radishspread/core/internal/rs_agent_loads.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_agent_loads.hpp
@@ -6,13 +6,25 @@
 #include <radishspread/core/rs_endpoint.hpp>
 #include <radishspread/core/rs_time.hpp>
 
+#include <array>
+#include <cstddef>
+#include <cstdint>
 #include <map>
 
 namespace radishspread::internal {
 
 /// Load and health of one agent, taken from its replies.
 struct agent_load {
+    /// Priorities that are told apart; less urgent ones count as the last.
+    static constexpr std::size_t priorities = 4;
+    /// Requests that are at least as urgent as a priority.
+    struct urgent_report {
+        double requests = 0; ///< Last reported, plus openings sent since.
+        instant reported_at;
+    };
+
     double in_progress = 0; ///< Last reported, plus openings sent since.
+    std::array<urgent_report, priorities> urgent;
     unsigned flows = 0;
     unsigned slots = 0; ///< 0: unknown.
     instant reported_at;
@@ -32,8 +44,10 @@
     agent_loads(duration age_limit, duration isolation_timeout)
         : age_limit_(age_limit), isolation_timeout_(isolation_timeout) {}
 
-    /// Records a reply that carries the load of the agent.
-    void load_reported(instant now, endpoint agent, agent_packet const& reply);
+    /// Records a reply, about a flow of this priority, that carries the load of
+    /// the agent.
+    void load_reported(instant now, endpoint agent, agent_packet const& reply,
+        std::uint8_t priority = 0);
     /// Records an opening sent to the agent.
     void opening_sent(instant now, endpoint agent);
     /// Records a request that the agent must reply to.
@@ -66,6 +80,10 @@
     /// old. `slots` is used if the agent has not reported its number of slots.
     [[nodiscard]] double load_per_slot(
         instant now, endpoint agent, unsigned slots) const;
+    /// Of these, the requests that are at least as urgent as `priority`; all if
+    /// the agent has not reported them lately.
+    [[nodiscard]] double urgent_per_slot(instant now, endpoint agent,
+        unsigned slots, std::uint8_t priority) const;
     /// Open flows per slot.
     [[nodiscard]] double flows_per_slot(endpoint agent, unsigned slots) const;
 
--- a/packages/core/include/radishspread/core/internal/rs_held_flow.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_held_flow.hpp
@@ -30,8 +30,10 @@
     bool backend_finished = false;
     bool has_predecessor = false; ///< The caller's port is used again.
     bool has_caller_end = false;  ///< `caller_end` is valid.
+    std::uint8_t priority = 0;    ///< Of the outstanding request.
     std::uint32_t caller_end = 0; ///< After the caller's last byte.
     std::uint32_t handshake = 0;  ///< Sequence number of the opening reply.
+    endpoint route;               ///< Address that the caller opened.
     endpoint balancer;            ///< Sender of the flow's last packet.
     endpoint notified_balancer;   ///< Last one that was sent `held`.
     instant opened_at;
--- a/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
@@ -284,6 +284,7 @@
     check_pause(now, sink);
     view_.tick(now);
     expire_unused(now);
+    shed_queue(now, sink);
     serve_queue(now, sink);
     if (!is_unresponsive_ && oldest_unreplied_at_ != instant{} &&
         now - oldest_unreplied_at_ >= options_.opening_timeout) {
@@ -298,7 +299,7 @@
 }
 
 template <packet_sink Sink> void packet_agent::stop(instant now, Sink& sink) {
-    while (auto it = queue_.pop(now, service_time_)) {
+    while (auto it = queue_.pop(now)) {
         it->message.packet = it->packet;
         decline(now, it->balancer, it->message, refusal::draining, sink);
     }
--- a/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
@@ -88,7 +88,8 @@
         sink.log({.number = packet_event::opening_refused,
             .flow = flow,
             .why = refusal::overloaded,
-            .version = view_.route_version()});
+            .version = view_.route_version(),
+            .priority = priority_of(flow.service)});
         return sink.reset_caller(flow, 0);
     }
     auto& pending = entry->second;
@@ -107,6 +108,7 @@
     pending.awaits_view = false;
     pending.clear_attempts();
     pending.service = view_.service_of(flow.service);
+    pending.priority = priority_of(flow.service);
     if (pending.service != 0)
         return place_opening(now, flow, pending, sink);
     sink.log({.number = packet_event::opening_refused,
@@ -189,7 +191,8 @@
         .why = pending.tried.empty() ? refusal::no_candidate
                                      : pending.last_refusal,
         .version = view_.route_version(),
-        .value = static_cast<std::int64_t>(pending.tried.size())});
+        .value = static_cast<std::int64_t>(pending.tried.size()),
+        .priority = pending.priority});
     sink.reset_caller(flow, 0);
     return false;
 }
@@ -260,7 +263,7 @@
 template <packet_sink Sink>
 void packet_balancer::on_held(
     instant now, endpoint from, agent_packet const& message, Sink& sink) {
-    loads_.load_reported(now, from, message);
+    loads_.load_reported(now, from, message, priority_of(message.flow.service));
     bool const was_opening = openings_.erase(message.flow) > 0;
     if (was_opening)
         retries_.reply_received();
@@ -283,7 +286,7 @@
 template <packet_sink Sink>
 void packet_balancer::on_declined(
     instant now, endpoint from, agent_packet const& message, Sink& sink) {
-    loads_.load_reported(now, from, message);
+    loads_.load_reported(now, from, message, priority_of(message.flow.service));
     auto found = openings_.find(message.flow);
     if (found == openings_.end()) {
         if (!forget_ended_flow(now, from, message))
@@ -296,7 +299,8 @@
         pending.leave_queue();
     if (message.why == refusal::overloaded) {
         ++pending.declines;
-        auto const load = loads_.load_per_slot(now, from, message.slots);
+        auto const load = loads_.urgent_per_slot(
+            now, from, message.slots, priority_of(message.flow.service));
         if (!pending.least_loaded.is_set() || load < pending.least_load) {
             pending.least_loaded = from;
             pending.least_load = load;
@@ -351,7 +355,8 @@
                 .flow = flow,
                 .peer = entry.agent,
                 .why = entry.current_refusal(),
-                .value = static_cast<std::int64_t>(entry.tried.size())});
+                .value = static_cast<std::int64_t>(entry.tried.size()),
+                .priority = entry.priority});
         } else if (now >= entry.reply_due) {
             is_over = !on_reply_timeout(now, flow, entry, sink);
         }
--- a/packages/core/include/radishspread/core/internal/rs_packet_opening_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_opening_impl.hpp
@@ -15,7 +15,8 @@
         .peer = to,
         .why = why,
         .version = message.route_version,
-        .value = static_cast<std::int64_t>(in_progress_)});
+        .value = static_cast<std::int64_t>(in_progress_.total()),
+        .priority = priority_of(message.flow.service)});
     auto reply = make_report(agent_packet_kind::declined, message.flow);
     reply.why = why;
     reply.packet = message.packet;
@@ -47,7 +48,8 @@
     auto const why =
         is_full ? refusal::overloaded : check_admission(now, message);
     if (why == refusal::none)
-        return admit_opening(now, from, message, packet.bytes, sink);
+        return admit_opening(
+            now, from, message, packet.bytes, duration{0}, sink);
     if (why == refusal::overloaded && message.may_queue && !is_full)
         return enqueue(now, from, message, packet, sink);
     decline(now, from, message, why, sink);
@@ -55,7 +57,8 @@
 
 template <packet_sink Sink>
 void packet_agent::admit_opening(instant now, endpoint from,
-    agent_packet const& message, std::span<std::byte const> bytes, Sink& sink) {
+    agent_packet const& message, std::span<std::byte const> bytes,
+    duration queued_for, Sink& sink) {
     bool const is_known = flows_.contains(message.flow);
     auto& held = insert(now, message.flow);
     held.start_anew();
@@ -73,55 +76,74 @@
         .peer = from,
         .version = message.route_version,
         .value = static_cast<std::int64_t>(open_),
-        .age_ms = message.age_ms});
+        .age_ms = message.age_ms,
+        .priority = held.priority,
+        .queued_for = queued_for});
     sink.send_backend(bytes);
 }
 
 template <packet_sink Sink>
 void packet_agent::enqueue(instant now, endpoint from,
     agent_packet const& message, flow_packet const& packet, Sink& sink) {
-    auto const* route = view_.route_of(message.flow.service);
     internal::queued_opening opening{.balancer = from,
         .message = message,
         .packet = {packet.bytes.begin(), packet.bytes.end()},
-        .first_sent_at = now - std::chrono::milliseconds(message.age_ms),
-        .goal = options_.default_goal};
+        .cost = cost_of(now, message)};
     opening.message.packet = {};
-    if (route != nullptr && route->goal > duration{0}) {
-        opening.goal = route->goal;
-        opening.priority = route->priority;
-    }
-    if (!queue_.push(now, std::move(opening), service_time_, slots()))
+    auto const result = queue_.push(now, std::move(opening), slots());
+    if (result.displaced)
+        decline_queued(now, *result.displaced, sink);
+    if (!result.is_queued)
         return decline(now, from, message, refusal::overloaded, sink);
     sink.log({.number = packet_event::opening_queued,
         .flow = message.flow,
         .peer = from,
         .version = message.route_version,
         .value = static_cast<std::int64_t>(queue_.size()),
-        .age_ms = message.age_ms});
+        .age_ms = message.age_ms,
+        .priority = priority_of(message.flow.service)});
     sink.send(from, make_report(agent_packet_kind::queued, message.flow));
 }
 
-// Admission is checked again, since routes, drains and failure domains may have
-// changed while the opening was queued.
 template <packet_sink Sink>
-void packet_agent::serve_queue(instant now, Sink& sink) {
+void packet_agent::decline_queued(
+    instant now, internal::queued_opening const& opening, Sink& sink) {
+    auto message = opening.message;
+    message.packet = opening.packet;
+    decline(now, opening.balancer, message, refusal::overloaded, sink);
+}
+
+template <packet_sink Sink>
+void packet_agent::shed_queue(instant now, Sink& sink) {
     while (auto const expired = queue_.pop_expired(now))
         sink.log({.number = packet_event::opening_dropped,
             .flow = expired->message.flow,
             .peer = expired->balancer,
             .why = refusal::overloaded,
-            .age_ms =
-                (now - expired->first_sent_at) / std::chrono::milliseconds(1)});
-    while (queue_.size() > 0 && in_progress_ < queue_limit()) {
-        auto next = queue_.pop(now, service_time_);
+            .age_ms = (now - expired->cost.first_sent_at) /
+                      std::chrono::milliseconds(1),
+            .priority = expired->cost.priority,
+            .queued_for = now - expired->queued_at});
+    for (auto const& it : queue_.take_hopeless(now, slots()))
+        decline_queued(now, it, sink);
+}
+
+// Admission is checked again, since routes, drains and failure domains may have
+// changed while the opening was queued.
+template <packet_sink Sink>
+void packet_agent::serve_queue(instant now, Sink& sink) {
+    for (auto const* first = queue_.next(now);
+         first != nullptr && has_room(first->message);
+         first = queue_.next(now)) {
+        auto next = queue_.pop(now);
         auto& message = next->message;
         message.age_ms = static_cast<std::uint16_t>(
-            (now - next->first_sent_at) / std::chrono::milliseconds(1));
+            (now - next->cost.first_sent_at) / std::chrono::milliseconds(1));
         message.packet = next->packet;
         auto const why = check_admission(now, message);
         if (why == refusal::none)
-            admit_opening(now, next->balancer, message, next->packet, sink);
+            admit_opening(now, next->balancer, message, next->packet,
+                now - next->queued_at, sink);
         else
             decline(now, next->balancer, message, why, sink);
     }
--- a/packages/core/include/radishspread/core/internal/rs_pending_opening.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_pending_opening.hpp
@@ -14,9 +14,10 @@
 /// An opening that no agent has admitted yet.
 struct pending_opening {
     std::uint32_t service = 0;
-    instant first_sent_at; ///< Time of the caller's first transmission.
-    instant reply_due;     ///< Reply timeout of `agent`; `max()`: none.
-    endpoint agent;        ///< The last one that was sent the opening.
+    std::uint8_t priority = 0; ///< Of the route; 0 is the most urgent.
+    instant first_sent_at;     ///< Time of the caller's first transmission.
+    instant reply_due;         ///< Reply timeout of `agent`; `max()`: none.
+    endpoint agent;            ///< The last one that was sent the opening.
     boost::container::small_vector<endpoint, 8> tried;
     boost::container::small_vector<std::byte, 64> packet;
     endpoint least_loaded; ///< Among agents without a free slot.
--- a/packages/core/include/radishspread/core/internal/rs_placement.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_placement.hpp
@@ -12,9 +12,11 @@
 /// An agent that is eligible for an opening.
 struct placement_candidate {
     endpoint agent;
-    bool is_local = false;     ///< In the balancer's failure domain.
-    bool is_suspect = false;   ///< Did not reply, or is leaving.
-    double load_per_slot = 0;  ///< Requests in progress per slot.
+    bool is_local = false;    ///< In the balancer's failure domain.
+    bool is_suspect = false;  ///< Did not reply, or is leaving.
+    double load_per_slot = 0; ///< Requests in progress per slot.
+    /// Those that are at least as urgent as the opening.
+    double urgent_per_slot = 0;
     double flows_per_slot = 0; ///< Open flows per slot.
 };
 
@@ -36,7 +38,8 @@
 /// loads are decided by the number of open flows, because long flows accumulate
 /// at the agents that received openings first. Agents with a backlog come last,
 /// before suspect ones: after an outage, or while many backend servers are
-/// replaced, most agents have one.
+/// replaced, most agents have one. Among these, only the requests that are at
+/// least as urgent delay the opening.
 [[nodiscard]] placement_candidate const* choose_agent(
     std::span<placement_candidate const> candidates, std::uint64_t random);
 
--- a/packages/core/include/radishspread/core/rs_agent_packet.hpp
+++ b/packages/core/include/radishspread/core/rs_agent_packet.hpp
@@ -34,6 +34,9 @@
 /// Value of `agent_packet::cold_rate` for one opening per second.
 inline constexpr std::uint16_t cold_rate_units = 16;
 
+/// Value of `agent_packet::urgent` if the sender does not report it.
+inline constexpr std::uint16_t unknown_urgent = 0xffff;
+
 /// Bytes of a message on the link besides its packet: 44 of the message itself,
 /// 28 of UDP and IP.
 inline constexpr std::size_t message_overhead = 72;
@@ -70,6 +73,9 @@
     /// `held`, `declined`, `queued`: requests at the backend server without a
     /// response, plus queued openings.
     std::uint16_t in_progress = 0;
+    /// `held`, `declined`, `queued`: those of `in_progress` that are at least
+    /// as urgent as the flow's route.
+    std::uint16_t urgent = unknown_urgent;
     std::uint16_t slots = 0; ///< Of the backend server; 0 if unknown.
     std::uint16_t flows = 0; ///< `held`, `declined`, `queued`: open flows.
     /// `open`: milliseconds since the caller's first copy.
--- a/packages/core/include/radishspread/core/rs_packet_agent.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_agent.hpp
@@ -4,7 +4,9 @@
 #include <radishspread/core/internal/rs_held_flow.hpp>
 #include <radishspread/core/internal/rs_opening_queue.hpp>
 #include <radishspread/core/internal/rs_rate_window.hpp>
+#include <radishspread/core/internal/rs_requests_in_progress.hpp>
 #include <radishspread/core/internal/rs_version_claims.hpp>
+#include <radishspread/core/internal/rs_work_estimates.hpp>
 #include <radishspread/core/rs_fleet_view.hpp>
 #include <radishspread/core/rs_flow_list.hpp>
 #include <radishspread/core/rs_flow_packet.hpp>
@@ -58,7 +60,9 @@
     [[nodiscard]] fleet_view& view() { return view_; }
     [[nodiscard]] fleet_view const& view() const { return view_; }
     [[nodiscard]] std::size_t flows() const { return open_; }
-    [[nodiscard]] std::size_t in_progress() const { return in_progress_; }
+    [[nodiscard]] std::size_t in_progress() const {
+        return in_progress_.total();
+    }
     /// True while an announcement may still show that the backend server
     /// started with this agent, which makes the flow table complete.
     [[nodiscard]] bool awaits_announcement(instant now) const {
@@ -80,14 +84,22 @@
     template <packet_sink Sink>
     void on_open(instant now, endpoint from, agent_packet const& message,
         flow_packet const& packet, Sink& sink);
-    /// Passes the opening to the backend server.
+    /// Passes the opening, which was queued for `queued_for`, to the backend
+    /// server.
     template <packet_sink Sink>
     void admit_opening(instant now, endpoint from, agent_packet const& message,
-        std::span<std::byte const> bytes, Sink& sink);
+        std::span<std::byte const> bytes, duration queued_for, Sink& sink);
     template <packet_sink Sink>
     void enqueue(instant now, endpoint from, agent_packet const& message,
         flow_packet const& packet, Sink& sink);
-    /// Admits queued openings to free slots; drops expired ones.
+    /// Declines a queued opening for lack of a free slot.
+    template <packet_sink Sink>
+    void decline_queued(
+        instant now, internal::queued_opening const& opening, Sink& sink);
+    /// Drops queued openings whose callers have given up, and declines those
+    /// that will be too late.
+    template <packet_sink Sink> void shed_queue(instant now, Sink& sink);
+    /// Admits queued openings to free slots.
     template <packet_sink Sink> void serve_queue(instant now, Sink& sink);
     template <packet_sink Sink>
     void on_locate(
@@ -132,6 +144,12 @@
         return view_.find(options_.backend, options_.service);
     }
     [[nodiscard]] std::size_t slots() const;
+    /// Priority of the route to `address`; 0 without one.
+    [[nodiscard]] std::uint8_t priority_of(endpoint address) const;
+    [[nodiscard]] internal::opening_cost cost_of(
+        instant now, agent_packet const& message) const;
+    /// True if the opening fits to the requests in progress.
+    [[nodiscard]] bool has_room(agent_packet const& message) const;
     /// Limit of requests in progress below which queued openings are admitted.
     [[nodiscard]] std::size_t queue_limit() const;
     /// Creates a message that reports the load of the backend server.
@@ -162,7 +180,7 @@
     /// Admitted openings, oldest first, until `unused_limit` has passed.
     std::deque<std::pair<instant, packet_flow>> unused_;
     std::size_t open_ = 0;
-    std::size_t in_progress_ = 0;
+    internal::requests_in_progress in_progress_;
     internal::version_claims claims_; ///< By messages, of the routes.
     internal::rate_window cold_window_{std::chrono::seconds(1)};
     std::uint16_t reported_slots_ = 0; ///< From the last `open` message.
@@ -171,7 +189,7 @@
     std::uint64_t first_announced_start_ = 0; ///< From the first read.
     bool is_table_complete_ = false;
     internal::opening_queue queue_;
-    duration service_time_; ///< Mean time to a response.
+    internal::work_estimates work_;
     instant started_at_;
     instant last_event_at_;
     instant oldest_probe_at_;     ///< First probe without a later reply.
--- a/packages/core/include/radishspread/core/rs_packet_log.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_log.hpp
@@ -23,6 +23,9 @@
     std::int64_t age_ms = -1;  ///< Age of the input; -1: not applicable.
     std::string_view text;     ///< Item name; valid during the call.
     item_version item;         ///< Of a changed item.
+    int priority = -1;         ///< Of the flow's route; -1: not applicable.
+    /// Time that the opening waited for a slot; negative: not applicable.
+    duration queued_for{-1};
 };
 
 /// Log event for a changed item; its `text` refers to `change`.
--- a/packages/core/src/rs_agent_loads.cpp
+++ b/packages/core/src/rs_agent_loads.cpp
@@ -21,12 +21,19 @@
 /// complete with the announcement of its backend server.
 constexpr duration uncertainty_age_limit = std::chrono::milliseconds(300);
 
+std::size_t index_of(std::uint8_t priority) {
+    return std::min<std::size_t>(priority, agent_load::priorities - 1);
+}
+
 } // namespace
 
-void agent_loads::load_reported(
-    instant now, endpoint agent, agent_packet const& reply) {
+void agent_loads::load_reported(instant now, endpoint agent,
+    agent_packet const& reply, std::uint8_t priority) {
     auto& load = loads_[agent];
     load.in_progress = reply.in_progress;
+    if (reply.urgent != unknown_urgent)
+        load.urgent[index_of(priority)] = {
+            .requests = double(reply.urgent), .reported_at = now};
     load.flows = reply.flows;
     load.slots = reply.slots;
     load.reported_at = now;
@@ -56,6 +63,8 @@
     reachability_.request_sent(now);
     auto& load = loads_[agent];
     load.in_progress += 1;
+    for (auto& it : load.urgent)
+        it.requests += 1;
     ++load.flows;
 }
 
@@ -114,6 +123,19 @@
     return it->second.in_progress / std::max(n, 1U);
 }
 
+double agent_loads::urgent_per_slot(
+    instant now, endpoint agent, unsigned slots, std::uint8_t priority) const {
+    auto const load = load_per_slot(now, agent, slots);
+    auto const found = loads_.find(agent);
+    if (found == loads_.end())
+        return load;
+    auto const& it = found->second.urgent[index_of(priority)];
+    if (now - it.reported_at > age_limit_)
+        return load;
+    auto const n = found->second.slots != 0 ? found->second.slots : slots;
+    return std::min(load, it.requests / std::max(n, 1U));
+}
+
 double agent_loads::flows_per_slot(endpoint agent, unsigned slots) const {
     auto const it = loads_.find(agent);
     if (it == loads_.end())
--- a/packages/core/src/rs_opening_queue.cpp
+++ b/packages/core/src/rs_opening_queue.cpp
@@ -7,64 +7,112 @@
 
 namespace {
 
-/// True if `a` is served before `b`.
-bool is_served_before(queued_opening const& a, queued_opening const& b,
-    instant now, duration service) {
-    auto const is_timely = [&](queued_opening const& it) {
-        return now - it.first_sent_at + service <= it.goal;
-    };
-    bool const a_is_timely = is_timely(a);
-    if (a_is_timely != is_timely(b))
-        return a_is_timely;
-    if (a.priority != b.priority)
-        return a.priority < b.priority;
-    // Of the openings that can meet their goal, the newest leaves the most time
-    // for a slow response; of the late ones, the oldest is abandoned soonest.
-    return a_is_timely ? a.first_sent_at > b.first_sent_at
-                       : a.first_sent_at < b.first_sent_at;
+duration share_of_slots(duration work, std::size_t slots) {
+    return work / static_cast<duration::rep>(std::max<std::size_t>(slots, 1));
 }
 
 } // namespace
 
 // The wait follows from the order of service, not from the length of the queue:
 // behind a long backlog, a new opening is still served next.
-bool opening_queue::push(
-    instant now, queued_opening opening, duration service, std::size_t slots) {
-    auto const ahead =
-        std::count_if(waiting_.begin(), waiting_.end(), [&](auto const& it) {
-            return !is_served_before(opening, it, now, service);
-        });
-    auto const wait =
-        service * (ahead + 1) /
-        static_cast<duration::rep>(std::max<std::size_t>(slots, 1));
-    bool const is_too_late =
-        now - opening.first_sent_at + wait >= opening_age_limit_;
-    if (waiting_.size() >= max_size || is_too_late)
-        return false;
+duration opening_queue::wait_of(
+    instant now, opening_cost const& cost, std::size_t slots) const {
+    auto work = cost.work;
+    for (auto const& it : waiting_)
+        if (!is_served_before(cost, it.cost, now))
+            work += it.cost.work;
+    return share_of_slots(work, slots);
+}
+
+push_result opening_queue::push(
+    instant now, queued_opening opening, std::size_t slots) {
+    if (is_too_late(now, opening.cost, wait_of(now, opening.cost, slots)))
+        return {};
+    push_result out{.is_queued = true};
+    if (waiting_.size() >= max_size) {
+        auto const last = std::max_element(waiting_.begin(), waiting_.end(),
+            [&](auto const& a, auto const& b) {
+                return is_served_before(a.cost, b.cost, now);
+            });
+        if (!is_served_before(opening.cost, last->cost, now))
+            return {};
+        out.displaced = take(last);
+    }
+    opening.queued_at = now;
     waiting_.push_back(std::move(opening));
-    return true;
+    return out;
+}
+
+std::uint8_t opening_queue::least_urgent() const {
+    return std::max_element(waiting_.begin(), waiting_.end(),
+        [](auto const& a, auto const& b) {
+            return a.cost.priority < b.cost.priority;
+        })
+        ->cost.priority;
 }
 
-std::optional<queued_opening> opening_queue::pop(
-    instant now, duration service) {
-    auto const first = std::min_element(
+opening_queue::position opening_queue::select(instant now) const {
+    bool const is_turn_of_last = overtakes_ >= max_overtakes;
+    auto const last = least_urgent();
+    return std::min_element(
         waiting_.begin(), waiting_.end(), [&](auto const& a, auto const& b) {
-            return is_served_before(a, b, now, service);
+            if (is_turn_of_last && a.cost.priority != b.cost.priority)
+                return a.cost.priority == last;
+            return is_served_before(a.cost, b.cost, now);
         });
-    return take(first);
+}
+
+queued_opening const* opening_queue::next(instant now) const {
+    return waiting_.empty() ? nullptr : &*select(now);
+}
+
+std::optional<queued_opening> opening_queue::pop(instant now) {
+    if (waiting_.empty())
+        return std::nullopt;
+    auto const last = least_urgent();
+    auto out = take(select(now));
+    overtakes_ = out->cost.priority == last ? 0 : overtakes_ + 1;
+    return out;
 }
 
 std::optional<queued_opening> opening_queue::pop_expired(instant now) {
     return take(
         std::find_if(waiting_.begin(), waiting_.end(), [&](auto const& it) {
-            return now - it.first_sent_at >= opening_age_limit_;
+            return is_too_late(now, it.cost, duration{0});
         }));
 }
 
-std::optional<queued_opening> opening_queue::take(
-    std::vector<queued_opening>::iterator it) {
-    if (it == waiting_.end())
+// Openings that arrive later may still delay those that stay.
+std::vector<queued_opening> opening_queue::take_hopeless(
+    instant now, std::size_t slots) {
+    std::sort(
+        waiting_.begin(), waiting_.end(), [&](auto const& a, auto const& b) {
+            return is_served_before(a.cost, b.cost, now);
+        });
+    duration work{0};
+    auto const kept = std::stable_partition(
+        waiting_.begin(), waiting_.end(), [&](auto const& it) {
+            if (is_too_late(now, it.cost, share_of_slots(work, slots)))
+                return false;
+            work += it.cost.work;
+            return true;
+        });
+    std::vector<queued_opening> out(
+        std::make_move_iterator(kept), std::make_move_iterator(waiting_.end()));
+    waiting_.erase(kept, waiting_.end());
+    return out;
+}
+
+std::size_t opening_queue::count_urgent(std::uint8_t priority) const {
+    return static_cast<std::size_t>(
+        std::count_if(waiting_.begin(), waiting_.end(),
+            [&](auto const& it) { return it.cost.priority <= priority; }));
+}
+
+std::optional<queued_opening> opening_queue::take(position at) {
+    if (at == waiting_.end())
         return std::nullopt;
+    auto const it = waiting_.begin() + (at - waiting_.cbegin());
     std::optional<queued_opening> out(std::move(*it));
     waiting_.erase(it);
     return out;
--- a/packages/core/src/rs_packet_agent.cpp
+++ b/packages/core/src/rs_packet_agent.cpp
@@ -14,12 +14,6 @@
 /// Interval of trial openings to an unresponsive backend server.
 constexpr duration trial_interval = std::chrono::milliseconds(200);
 
-/// Response time assumed until the backend server has responded.
-constexpr duration initial_service_time = std::chrono::milliseconds(50);
-
-/// The moving average of response times weighs a new response by the inverse.
-constexpr int service_time_divisor = 16;
-
 /// A backend server counts as started together with its agent if it started at
 /// most this long before it: the order of their starts is undefined.
 constexpr std::uint64_t start_tolerance_ms = 1000;
@@ -34,8 +28,7 @@
 } // namespace
 
 packet_agent::packet_agent(packet_agent_options options)
-    : options_(options), queue_(options.opening_age_limit),
-      service_time_(initial_service_time) {}
+    : options_(options), queue_(options.opening_age_limit) {}
 
 std::size_t packet_agent::slots() const {
     auto const* self = find_announced();
@@ -70,15 +63,46 @@
 
 agent_packet packet_agent::make_report(
     agent_packet_kind kind, packet_flow const& flow) const {
+    auto const priority = priority_of(flow.service);
     return {.kind = kind,
         .service = options_.service,
         .route_version = view_.route_version(),
-        .in_progress = static_cast<std::uint16_t>(in_progress_ + queue_.size()),
+        .in_progress =
+            static_cast<std::uint16_t>(in_progress_.total() + queue_.size()),
+        .urgent =
+            static_cast<std::uint16_t>(in_progress_.count_urgent(priority) +
+                                       queue_.count_urgent(priority)),
         .slots = static_cast<std::uint16_t>(slots()),
         .flows = static_cast<std::uint16_t>(open_),
         .flow = flow};
 }
 
+std::uint8_t packet_agent::priority_of(endpoint address) const {
+    auto const* route = view_.route_of(address);
+    return route == nullptr ? std::uint8_t{0} : route->priority;
+}
+
+internal::opening_cost packet_agent::cost_of(
+    instant now, agent_packet const& message) const {
+    auto const address = message.flow.service;
+    auto const* route = view_.route_of(address);
+    bool const has_goal = route != nullptr && route->goal > duration{0};
+    return {.first_sent_at = now - std::chrono::milliseconds(message.age_ms),
+        .goal = has_goal ? route->goal : options_.default_goal,
+        .work = work_.of(address),
+        .priority = priority_of(address)};
+}
+
+bool packet_agent::has_room(agent_packet const& message) const {
+    auto const n = slots();
+    if (n == 0)
+        return true;
+    if (!message.may_queue)
+        return in_progress_.total() < n;
+    return in_progress_.has_room(
+        priority_of(message.flow.service), queue_limit(), n);
+}
+
 bool packet_agent::is_cold(instant now, agent_packet const& message) const {
     if (message.is_cold)
         return true;
@@ -115,9 +139,7 @@
     if (is_unresponsive_ && now < next_trial_at_)
         return refusal::unresponsive;
     reported_slots_ = message.slots;
-    auto const limit = slots();
-    auto const most = message.may_queue ? queue_limit() : limit;
-    if (limit != 0 && in_progress_ >= most)
+    if (!has_room(message))
         return refusal::overloaded;
     if (message.cold_rate != 0 && is_cold(now, message)) {
         auto const rate = std::max<std::size_t>(
@@ -143,8 +165,7 @@
 
 void packet_agent::record_response(instant now, held_flow& it) {
     if (it.is_outstanding)
-        service_time_ +=
-            (now - it.outstanding_since - service_time_) / service_time_divisor;
+        work_.record(it.route, now - it.outstanding_since);
     set_outstanding(now, it, false);
 }
 
@@ -152,15 +173,18 @@
     if (it.is_outstanding == value)
         return;
     it.is_outstanding = value;
-    if (value)
-        it.outstanding_since = now;
-    value ? ++in_progress_ : --in_progress_;
+    if (!value)
+        return in_progress_.remove(it.priority);
+    it.outstanding_since = now;
+    it.priority = priority_of(it.route);
+    in_progress_.add(it.priority);
 }
 
 held_flow& packet_agent::insert(instant now, packet_flow const& flow) {
     auto const [it, is_new] = flows_.try_emplace(flow);
     if (is_new) {
         ++open_; // The state of a new entry counts as open.
+        it->second.route = flow.service;
         it->second.opened_at = now;
         it->second.last_packet_at = now;
     }
--- a/packages/core/src/rs_placement.cpp
+++ b/packages/core/src/rs_placement.cpp
@@ -16,6 +16,10 @@
 
 bool is_less_loaded(
     placement_candidate const& a, placement_candidate const& b) {
+    bool const has_backlog = a.load_per_slot >= backlog_load_per_slot &&
+                             b.load_per_slot >= backlog_load_per_slot;
+    if (has_backlog && a.urgent_per_slot != b.urgent_per_slot)
+        return a.urgent_per_slot < b.urgent_per_slot;
     if (a.load_per_slot != b.load_per_slot)
         return a.load_per_slot < b.load_per_slot;
     return a.flows_per_slot < b.flows_per_slot;
--- a/packages/core/tests/rs_opening_queue_test.cpp
+++ b/packages/core/tests/rs_opening_queue_test.cpp
@@ -1,7 +1,9 @@
 #include <radishspread/core/internal/rs_opening_queue.hpp>
 
 #include <algorithm>
+#include <array>
 #include <deque>
+#include <optional>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -20,24 +22,25 @@
     return instant(std::chrono::hours(1)) + since;
 }
 
-queued_opening opening_of(
-    std::uint16_t port, milliseconds first_sent_at, std::uint8_t priority = 1) {
+queued_opening opening_of(std::uint16_t port, milliseconds first_sent_at,
+    std::uint8_t priority = 1, duration work = service) {
     return {.message = {.flow = {.caller = {.address = 1, .port = port}}},
-        .first_sent_at = at(first_sent_at),
-        .goal = goal,
-        .priority = priority};
+        .cost = {.first_sent_at = at(first_sent_at),
+            .goal = goal,
+            .work = work,
+            .priority = priority}};
 }
 
 /// First-in-first-out queue as the reference of the comparison.
 struct fifo_queue {
     std::deque<queued_opening> waiting;
 
-    void push(instant, queued_opening it, duration, std::size_t) {
+    void push(instant, queued_opening it, std::size_t) {
         waiting.push_back(std::move(it));
     }
-    std::optional<queued_opening> pop(instant now, duration) {
+    std::optional<queued_opening> pop(instant now) {
         while (!waiting.empty() &&
-               now - waiting.front().first_sent_at >= opening_age_limit)
+               now - waiting.front().cost.first_sent_at >= opening_age_limit)
             waiting.pop_front();
         if (waiting.empty())
             return std::nullopt;
@@ -63,36 +66,104 @@
     std::uint16_t port = 0;
     for (auto first_sent_at = -outage; first_sent_at < milliseconds(0);
          first_sent_at += arrival_interval)
-        queue.push(at(milliseconds(0)), opening_of(++port, first_sent_at),
-            service, slots);
+        queue.push(
+            at(milliseconds(0)), opening_of(++port, first_sent_at), slots);
     replay_result out;
     auto next_arrival = milliseconds(0);
     for (auto now = milliseconds(0); now < end; now += slot_interval) {
         for (; next_arrival <= now; next_arrival += arrival_interval)
-            queue.push(
-                at(now), opening_of(++port, next_arrival), service, slots);
-        auto const it = queue.pop(at(now), service);
+            queue.push(at(now), opening_of(++port, next_arrival), slots);
+        auto const it = queue.pop(at(now));
         if (!it)
             continue;
-        bool const is_in_goal = at(now) + service - it->first_sent_at <= goal;
+        bool const is_in_goal =
+            at(now) + service - it->cost.first_sent_at <= goal;
         ++(is_in_goal ? out.in_goal : out.late);
     }
     return out;
 }
 
+/// Order of service by arrival and by priority, as references of the overload.
+struct priority_queue : fifo_queue {
+    std::optional<queued_opening> pop(instant now) {
+        std::stable_sort(
+            waiting.begin(), waiting.end(), [](auto const& a, auto const& b) {
+                return a.cost.priority < b.cost.priority;
+            });
+        return fifo_queue::pop(now);
+    }
+};
+
+struct overload_result {
+    double worth = 0;
+    /// Longest time in which none of the least urgent class was served.
+    milliseconds longest_pause{0};
+    int refused = 0;
+    milliseconds longest_wait_of_refused{0};
+};
+
+/// Replays a burst of 8 s, longer than any opening waits, at twice the capacity
+/// of a backend server with one slot: short openings of the least urgent
+/// priority, ordinary ones, and long urgent ones.
+template <class Queue> overload_result replay_overload(Queue&& queue) {
+    struct load {
+        std::uint8_t priority;
+        milliseconds work;
+        milliseconds interval;
+    };
+    constexpr std::array loads{load{1, milliseconds(30), milliseconds(40)},
+        load{2, milliseconds(20), milliseconds(40)},
+        load{3, milliseconds(30), milliseconds(40)}};
+    constexpr milliseconds end{8000};
+    overload_result out;
+    std::uint16_t port = 0;
+    milliseconds free_at{0};
+    milliseconds last_served{0};
+    for (milliseconds now{0}; now != end; ++now) {
+        for (auto const& it : loads)
+            if (now % it.interval == milliseconds(0))
+                queue.push(
+                    at(now), opening_of(++port, now, it.priority, it.work), 1);
+        if constexpr (requires { queue.take_hopeless(at(now), 1); }) {
+            for (auto const& it : queue.take_hopeless(at(now), 1)) {
+                ++out.refused;
+                out.longest_wait_of_refused =
+                    std::max(out.longest_wait_of_refused,
+                        std::chrono::duration_cast<milliseconds>(
+                            at(now) - it.cost.first_sent_at));
+            }
+        }
+        if (now < free_at)
+            continue;
+        auto const it = queue.pop(at(now));
+        if (!it)
+            continue;
+        free_at = now + std::chrono::duration_cast<milliseconds>(it->cost.work);
+        bool const is_in_goal = is_timely(it->cost, at(now));
+        out.worth +=
+            (is_in_goal ? 1.0 : late_worth) / (1U << it->cost.priority);
+        if (it->cost.priority != loads.back().priority)
+            continue;
+        out.longest_pause = std::max(out.longest_pause, now - last_served);
+        last_served = now;
+    }
+    return out;
+}
+
 } // namespace
 
 TEST_GROUP(opening_queue) {
     opening_queue queue{opening_age_limit};
 
     std::uint16_t pop(milliseconds now) {
-        auto const it = queue.pop(at(now), service);
+        auto const it = queue.pop(at(now));
         return it ? it->message.flow.caller.port : std::uint16_t{0};
     }
     /// Pushes the opening to the queue of a backend server with one slot.
     bool push(queued_opening it, milliseconds now = milliseconds(0),
         milliseconds response_time = milliseconds(1)) {
-        return queue.push(at(now), std::move(it), response_time, 1);
+        it.cost.work = response_time;
+        return queue.push(at(now), std::move(it), 1).is_queued;
     }
 };
 
@@ -154,6 +225,72 @@
     CHECK(!push(opening_of(2, milliseconds(0)), {}, {}));
 }
 
+// A flood of less urgent openings kept urgent ones out.
+TEST(opening_queue, urgent_opening_displaces_the_one_that_costs_least) {
+    for (std::size_t n = 0; n != opening_queue::max_size; ++n)
+        push(opening_of(1, milliseconds(0), 2), {}, {});
+    auto const result = queue.push(at(milliseconds(0)),
+        opening_of(2, milliseconds(0), 1, milliseconds(0)), 1);
+    CHECK(result.is_queued);
+    CHECK_EQUAL(1, result.displaced->message.flow.caller.port);
+    CHECK_EQUAL(opening_queue::max_size, queue.size());
+    CHECK_EQUAL(2, pop(milliseconds(0)));
+}
+
+// An opening that more urgent ones overtake kept its caller waiting until it
+// gave up, instead of being refused while a retry had time.
+TEST(opening_queue, overtaken_opening_is_returned_before_it_expires) {
+    CHECK(push(opening_of(1, milliseconds(0), 2), {}, service));
+    constexpr std::uint16_t urgent = 26; // Take almost all of the time.
+    for (std::uint16_t n = 2; n != urgent + 2; ++n)
+        CHECK(push(opening_of(n, milliseconds(0), 1), {}, service));
+    CHECK(queue.take_hopeless(at(milliseconds(1)), 1).empty());
+    auto const out = queue.take_hopeless(at(milliseconds(60)), 1);
+    CHECK_EQUAL(1, out.size());
+    CHECK_EQUAL(1, out.front().message.flow.caller.port);
+    CHECK_EQUAL(urgent, queue.size());
+}
+
+TEST(opening_queue, openings_that_can_be_served_are_kept) {
+    for (std::uint16_t n = 1; n != 20; ++n)
+        push(opening_of(n, milliseconds(0)), {}, service);
+    CHECK(queue.take_hopeless(at(milliseconds(1)), 1).empty());
+    CHECK_EQUAL(19, queue.size());
+}
+
+TEST(opening_queue, least_urgent_opening_is_served_after_some_overtakes) {
+    push(opening_of(100, milliseconds(0), 3));
+    for (std::uint16_t n = 0; n != 20; ++n)
+        push(opening_of(n + 1, milliseconds(0), 1));
+    for (unsigned n = 0; n != opening_queue::max_overtakes; ++n)
+        CHECK(pop(milliseconds(1)) != 100);
+    CHECK_EQUAL(100, pop(milliseconds(1)));
+}
+
+// Load: twice the capacity for longer than callers wait. Neither the order of
+// arrival nor that of priorities alone weighs the work.
+TEST(opening_queue, long_overload_is_served_by_what_it_costs_callers) {
+    auto const by_cost = replay_overload(opening_queue(opening_age_limit));
+    auto const by_arrival = replay_overload(fifo_queue{});
+    auto const by_priority = replay_overload(priority_queue{});
+    CHECK(by_cost.worth > by_arrival.worth * 2);
+    CHECK(by_cost.worth > by_priority.worth);
+}
+
+TEST(opening_queue, long_overload_starves_no_priority) {
+    auto const out = replay_overload(opening_queue(opening_age_limit));
+    constexpr auto bound =
+        (opening_queue::max_overtakes + 1) * milliseconds(30);
+    CHECK(out.longest_pause <= bound);
+}
+
+// What cannot be served is refused while its caller has time for a retry.
+TEST(opening_queue, long_overload_refuses_before_callers_give_up) {
+    auto const out = replay_overload(opening_queue(opening_age_limit));
+    CHECK(out.refused > 0);
+    CHECK(out.longest_wait_of_refused < opening_age_limit);
+}
+
 // In first-in-first-out order, all openings in the first seconds after a power
 // loss were served late, including new ones.
 TEST(opening_queue, backlog_after_a_power_loss_delays_no_new_opening) {
--- a/packages/core/tests/rs_packet_agent_queue_test.cpp
+++ b/packages/core/tests/rs_packet_agent_queue_test.cpp
@@ -1,5 +1,7 @@
 #include "rs_packet_agent_fixture.hpp"
 
+#include <algorithm>
+
 using namespace radishspread;
 using namespace radishspread::test;
 
@@ -134,3 +136,75 @@
     deliver(core, at(22), balancer_two, forwarded, request);
     CHECK_EQUAL(1, core.in_progress());
 }
+
+TEST_GROUP_BASE(packet_agent_overload, packet_agent_fixture) {
+    static constexpr std::uint16_t urgent_port = 444;
+
+    /// The test route has priority 2, one with another port priority 1.
+    void setup() override {
+        packet_agent_fixture::setup();
+        auto change = routes_of(5, 8);
+        auto& routes = std::get<route_set>(change.content).routes;
+        routes[0].priority = 2;
+        auto urgent = routes[0];
+        urgent.address.port = urgent_port;
+        urgent.priority = 1;
+        routes.push_back(urgent);
+        core.view().apply(at(0), change);
+    }
+
+    packet_flow urgent_flow(std::uint16_t caller_port) {
+        auto flow = flow_of(caller_port);
+        flow.service.port = urgent_port;
+        return flow;
+    }
+};
+
+// Less urgent requests on open flows took all slots, and urgent openings waited
+// until their callers gave up.
+TEST(
+    packet_agent_overload, urgent_opening_is_admitted_beside_less_urgent_ones) {
+    fill_slots(0);
+    open_or_queue(flow_of(1), 1);
+    CHECK_EQUAL(3, sink.to_backend);
+    open_or_queue(urgent_flow(2), 1);
+    CHECK_EQUAL(4, sink.to_backend);
+    open_or_queue(urgent_flow(3), 1);
+    CHECK_EQUAL(5, sink.to_backend);
+    open_or_queue(urgent_flow(4), 1);
+    CHECK_EQUAL(5, sink.to_backend);
+    CHECK_EQUAL(2, core.queued());
+}
+
+// The first agent that is tried has less urgent requests; others may have free
+// slots.
+TEST(packet_agent_overload, opening_that_may_not_queue_needs_a_free_slot) {
+    fill_slots(0);
+    open(urgent_flow(2), 1);
+    CHECK(last_refusal() == refusal::overloaded);
+    CHECK_EQUAL(3, sink.to_backend);
+}
+
+TEST(packet_agent_overload, report_counts_the_requests_that_are_as_urgent) {
+    fill_slots(0);
+    open(urgent_flow(2), 1);
+    CHECK_EQUAL(0, sink.sent.back().message.urgent);
+    CHECK_EQUAL(3, sink.sent.back().message.in_progress);
+    open(flow_of(3), 1);
+    CHECK_EQUAL(3, sink.sent.back().message.urgent);
+}
+
+TEST(packet_agent_overload, opening_that_will_be_too_late_is_declined) {
+    fill_slots(0);
+    open_or_queue(flow_of(1), 1, 1200);
+    for (std::uint16_t n = 2; n != 10; ++n)
+        open_or_queue(urgent_flow(n), 1, 1200);
+    sink.clear();
+    core.tick(at(100), sink);
+    auto const declined = std::find_if(sink.sent.begin(), sink.sent.end(),
+        [](auto const& it) { return it.message.flow == flow_of(1); });
+    CHECK(declined != sink.sent.end());
+    CHECK(declined->message.kind == agent_packet_kind::declined);
+    CHECK(declined->message.why == refusal::overloaded);
+    CHECK_EQUAL(packet_bytes.size(), declined->packet.size());
+}
--- a/packages/core/tests/rs_packet_balancer_test.cpp
+++ b/packages/core/tests/rs_packet_balancer_test.cpp
@@ -69,6 +69,31 @@
 // After a power loss each opening was declined by four agents with a backlog
 // before it was queued, which multiplied the messages while the agents were
 // busiest.
+// The opening was queued at the agent with the fewest requests, although all of
+// these were as urgent and those of another agent were not.
+TEST(packet_balancer, opening_is_queued_where_few_requests_are_as_urgent) {
+    open(flow_of(1), 0);
+    for (int n = 0; n != 3; ++n) {
+        auto const agent = sink.sent.back().to;
+        bool const is_busy_with_others = agent == agent_address(2);
+        deliver_reply(agent,
+            {.kind = agent_packet_kind::declined,
+                .why = refusal::overloaded,
+                .service = test_service,
+                .route_version = 5,
+                .in_progress =
+                    static_cast<std::uint16_t>(is_busy_with_others ? 6 : 4),
+                .urgent =
+                    static_cast<std::uint16_t>(is_busy_with_others ? 0 : 4),
+                .slots = 2,
+                .flow = flow_of(1),
+                .packet = packet_bytes},
+            1);
+    }
+    CHECK(sink.sent.back().message.may_queue);
+    CHECK(sink.sent.back().to == agent_address(2));
+}
+
 TEST(packet_balancer, opening_is_queued_at_once_if_all_agents_have_a_backlog) {
     constexpr std::uint16_t backlog = 4; // Of two slots.
     for (std::uint32_t n = 1; n <= 3; ++n)
--- a/packages/core/tests/rs_placement_test.cpp
+++ b/packages/core/tests/rs_placement_test.cpp
@@ -82,6 +82,26 @@
         CHECK_EQUAL(7, choose_agent(list, n * 77)->agent.address);
 }
 
+// In an overload, an urgent opening waited behind other urgent ones while
+// another backend server was busy with less urgent requests.
+TEST(placement, fewer_urgent_requests_decide_between_backlogs) {
+    std::vector<placement_candidate> list{
+        candidate_of(1, true, 3), candidate_of(2, false, 4)};
+    list[0].urgent_per_slot = 3;
+    list[1].urgent_per_slot = 0.5;
+    for (std::uint64_t n = 0; n != 20; ++n)
+        CHECK_EQUAL(2, choose_agent(list, n * 77)->agent.address);
+}
+
+// A free slot is worth more than a busy one with less urgent requests.
+TEST(placement, urgent_requests_decide_nothing_without_a_backlog) {
+    std::vector<placement_candidate> list{
+        candidate_of(1, true, 0.1), candidate_of(2, true, 0.5)};
+    list[0].urgent_per_slot = 0.1;
+    for (std::uint64_t n = 0; n != 20; ++n)
+        CHECK_EQUAL(1, choose_agent(list, n * 77)->agent.address);
+}
+
 // Open flows cause requests later, so they decide between equal loads.
 TEST(placement, fewer_open_flows_decide_between_equal_loads) {
     std::vector<placement_candidate> list{
--- a/packages/runtime/include/radishspread/runtime/rs_metrics.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_metrics.hpp
@@ -1,6 +1,8 @@
 #ifndef RADISHSPREAD_RUNTIME_RS_METRICS_HPP
 #define RADISHSPREAD_RUNTIME_RS_METRICS_HPP
 
+#include <radishspread/runtime/rs_histogram.hpp>
+
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/extended_p_square.hpp>
@@ -12,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -67,6 +70,9 @@
         std::string_view labels = {});
     distribution& add_distribution(
         std::string_view name, std::string_view help);
+    /// `bounds` are used by the first call for `name` and `labels`.
+    histogram& add_histogram(std::string_view name, std::string_view help,
+        std::string_view labels, std::span<double const> bounds);
     void add_gauge(
         std::string_view name, std::string_view help, gauge read_value);
 
@@ -79,6 +85,7 @@
         std::string help;
         std::map<std::string, std::unique_ptr<counter>> counters;
         std::unique_ptr<distribution> samples;
+        std::map<std::string, std::unique_ptr<histogram>> histograms;
         gauge read_value;
     };
 
--- a/packages/runtime/include/radishspread/runtime/rs_packet_shell.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_shell.hpp
@@ -11,6 +11,7 @@
 #include <radishspread/runtime/rs_loop.hpp>
 #include <radishspread/runtime/rs_metrics.hpp>
 #include <radishspread/runtime/rs_one_shot_timer.hpp>
+#include <radishspread/runtime/rs_opening_metrics.hpp>
 #include <radishspread/runtime/rs_packet_event_log.hpp>
 
 #include <functional>
@@ -115,6 +116,7 @@
     packet_event_log log_;
     runtime::metrics metrics_;
     std::vector<counter*> event_counters_;
+    opening_metrics opening_metrics_;
     datagram_sockets sockets_;
     http_server server_;
     one_shot_timer timer_;
--- a/packages/runtime/src/rs_metrics.cpp
+++ b/packages/runtime/src/rs_metrics.cpp
@@ -52,6 +52,21 @@
     append_sample(out, name + "_count", {}, std::to_string(samples.count()));
 }
 
+void append_histogram(std::string& out, std::string const& name,
+    std::string const& labels, histogram const& samples) {
+    auto const prefix = labels.empty() ? labels : labels + ',';
+    auto const bounds = samples.bounds();
+    for (std::size_t n = 0; n < bounds.size(); ++n)
+        append_sample(out, name + "_bucket",
+            prefix + "le=\"" + number_text(bounds[n]) + '"',
+            std::to_string(samples.count_up_to(n)));
+    append_sample(out, name + "_bucket", prefix + "le=\"+Inf\"",
+        std::to_string(samples.count()));
+    append_sample(out, name + "_sum", labels, number_text(samples.sum()));
+    append_sample(
+        out, name + "_count", labels, std::to_string(samples.count()));
+}
+
 } // namespace
 
 distribution::distribution()
@@ -91,6 +106,14 @@
     return *it;
 }
 
+histogram& metrics::add_histogram(std::string_view name, std::string_view help,
+    std::string_view labels, std::span<double const> bounds) {
+    auto& it = find(name, help).histograms[std::string(labels)];
+    if (it == nullptr)
+        it = std::make_unique<histogram>(bounds);
+    return *it;
+}
+
 void metrics::add_gauge(
     std::string_view name, std::string_view help, gauge read_value) {
     find(name, help).read_value = std::move(read_value);
@@ -102,6 +125,10 @@
         if (it.samples != nullptr) {
             append_heading(out, name, it.help, "summary");
             append_distribution(out, name, *it.samples);
+        } else if (!it.histograms.empty()) {
+            append_heading(out, name, it.help, "histogram");
+            for (auto const& [labels, samples] : it.histograms)
+                append_histogram(out, name, labels, *samples);
         } else if (it.read_value) {
             append_heading(out, name, it.help, "gauge");
             append_sample(out, name, {}, number_text(it.read_value()));
--- a/packages/runtime/src/rs_packet_event_log.cpp
+++ b/packages/runtime/src/rs_packet_event_log.cpp
@@ -48,6 +48,11 @@
     }
     if (event.age_ms >= 0)
         add_number(out, "age_ms", event.age_ms);
+    if (event.priority >= 0)
+        add_number(out, "priority", event.priority);
+    if (event.queued_for >= duration{0})
+        add_number(
+            out, "queued_ms", event.queued_for / std::chrono::milliseconds(1));
     if (!event.text.empty())
         add_text(out, "item", event.text);
     add_number(out, "value", event.value);
--- a/packages/runtime/src/rs_packet_shell.cpp
+++ b/packages/runtime/src/rs_packet_shell.cpp
@@ -34,7 +34,7 @@
     std::string settings_file, std::vector<config::fault> clamped)
     : settings_(std::move(settings)), settings_file_(std::move(settings_file)),
       clamped_(std::move(clamped)), now_(monotonic_now()), started_at_(now_),
-      log_(settings_.name),
+      log_(settings_.name), opening_metrics_(metrics_),
       sockets_([this](socket_key key, receive_batch const& batch,
                    std::size_t count) {
           update_clock();
@@ -70,6 +70,7 @@
     if (index == packet_events.size())
         return;
     event_counters_[index]->add();
+    opening_metrics_.record(event);
     log_.write(now_, index, event);
 }
 
--- a/packages/runtime/tests/rs_metrics_test.cpp
+++ b/packages/runtime/tests/rs_metrics_test.cpp
@@ -1,5 +1,8 @@
 #include <radishspread/runtime/rs_metrics.hpp>
 
+#include <array>
+#include <string>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace radishspread::runtime;
@@ -32,3 +35,20 @@
                             "c_seconds_count 1000\n"),
         registry.text());
 }
+
+TEST(metrics_text, buckets_of_a_histogram_are_cumulative) {
+    metrics registry;
+    constexpr std::array bounds{0.01, 0.5};
+    auto& samples =
+        registry.add_histogram("wait_seconds", "Waits.", "route=\"a\"", bounds);
+    for (double const it : {0.0, 0.01, 0.25, 0.5, 2.0})
+        samples.add(it);
+    CHECK_EQUAL(std::string("# HELP wait_seconds Waits.\n"
+                            "# TYPE wait_seconds histogram\n"
+                            "wait_seconds_bucket{route=\"a\",le=\"0.01\"} 2\n"
+                            "wait_seconds_bucket{route=\"a\",le=\"0.5\"} 4\n"
+                            "wait_seconds_bucket{route=\"a\",le=\"+Inf\"} 5\n"
+                            "wait_seconds_sum{route=\"a\"} 2.76\n"
+                            "wait_seconds_count{route=\"a\"} 5\n"),
+        registry.text());
+}
--- a/packages/wire/src/rs_agent_packet_codec.cpp
+++ b/packages/wire/src/rs_agent_packet_codec.cpp
@@ -40,7 +40,7 @@
     big_uint16_buf_t flows;
     big_uint32_buf_t handshake;
     big_uint16_buf_t age_ms;
-    big_uint16_buf_t reserved; ///< Always 0.
+    big_uint16_buf_t urgent_plus_one; ///< 0: unknown.
 };
 static_assert(sizeof(header) == agent_packet_header_size);
 
@@ -82,7 +82,8 @@
         .flows = big_uint16_buf_t(message.flows),
         .handshake = big_uint32_buf_t(message.handshake),
         .age_ms = big_uint16_buf_t(message.age_ms),
-        .reserved = big_uint16_buf_t(0),
+        .urgent_plus_one =
+            big_uint16_buf_t(static_cast<std::uint16_t>(message.urgent + 1U)),
     };
     return std::bit_cast<std::array<std::byte, agent_packet_header_size>>(out);
 }
@@ -108,6 +109,7 @@
         .route_version = in.route_version.value(),
         .cold_rate = in.cold_rate.value(),
         .in_progress = in.in_progress.value(),
+        .urgent = static_cast<std::uint16_t>(in.urgent_plus_one.value() - 1U),
         .slots = in.slots.value(),
         .flows = in.flows.value(),
         .age_ms = in.age_ms.value(),
--- a/packages/wire/tests/rs_agent_packet_codec_test.cpp
+++ b/packages/wire/tests/rs_agent_packet_codec_test.cpp
@@ -37,6 +37,7 @@
         .route_version = 0x1122334455667788,
         .cold_rate = 400,
         .in_progress = 3,
+        .urgent = 2,
         .slots = 7,
         .flows = 51,
         .age_ms = 640,
@@ -56,6 +57,7 @@
     CHECK_EQUAL(message.route_version, out->route_version);
     CHECK_EQUAL(message.cold_rate, out->cold_rate);
     CHECK_EQUAL(message.in_progress, out->in_progress);
+    CHECK_EQUAL(message.urgent, out->urgent);
     CHECK_EQUAL(message.slots, out->slots);
     CHECK_EQUAL(message.flows, out->flows);
     CHECK_EQUAL(message.age_ms, out->age_ms);
@@ -65,6 +67,14 @@
           payload);
 }
 
+// Agents of an earlier version send 0 in place of the count.
+TEST(agent_packet_codec, message_without_a_count_of_urgent_requests) {
+    message.urgent = unknown_urgent;
+    auto const bytes = encode(message);
+    CHECK(bytes[wire::agent_packet_header_size - 1] == std::byte{0});
+    CHECK_EQUAL(unknown_urgent, wire::decode_agent_packet(bytes)->urgent);
+}
+
 TEST(agent_packet_codec, malformed_datagrams_are_rejected) {
     auto bytes = encode(message);
     CHECK(!wire::decode_agent_packet(
