Let requests on open flows wait for more urgent openings under overload

Change: with the slots taken, a request on an open flow waits in the agent's queue while a more urgent opening waits there; it is dropped, never reset, if it gets too late. No opening exceeds the slots. Queued openings are declined at twice the time left, the share for the least urgent is 1 in 17.

--- a/packages/core/include/radishspread/core/internal/rs_held_flow.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_held_flow.hpp
@@ -56,13 +56,18 @@
         return has_predecessor && state == held_state::opening;
     }
 
+    /// True if the caller has sent no byte up to sequence number `end` before.
+    [[nodiscard]] bool is_new_end(std::uint32_t end) const {
+        // The signed difference handles wrap-around of sequence numbers.
+        return !has_caller_end ||
+               static_cast<std::int32_t>(end - caller_end) > 0;
+    }
+
     /// Records the caller's bytes up to sequence number `end`; true if they are
     /// new. A retransmitted request does not count as new: the backend server
     /// may have responded to it already.
     bool record_caller_bytes(std::uint32_t end) {
-        // The signed difference handles wrap-around of sequence numbers.
-        bool const is_new =
-            !has_caller_end || static_cast<std::int32_t>(end - caller_end) > 0;
+        bool const is_new = is_new_end(end);
         has_caller_end = true;
         if (is_new)
             caller_end = end;
--- a/packages/core/include/radishspread/core/internal/rs_opening_queue.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_opening_queue.hpp
@@ -4,6 +4,7 @@
 #include <radishspread/core/internal/rs_opening_cost.hpp>
 #include <radishspread/core/rs_agent_packet.hpp>
 #include <radishspread/core/rs_endpoint.hpp>
+#include <radishspread/core/rs_flow_packet.hpp>
 #include <radishspread/core/rs_time.hpp>
 
 #include <cstddef>
@@ -13,13 +14,17 @@
 
 namespace radishspread::internal {
 
-/// An opening that waits for a free slot of the backend server.
+/// An opening, or a request on an open flow, that waits for a free slot of the
+/// backend server.
 struct queued_opening {
     endpoint balancer;    ///< Receives the result.
     agent_packet message; ///< Its `packet` is unset.
     std::vector<std::byte> packet;
     instant queued_at;
     opening_cost cost;
+    /// Of a request on an open flow; its `bytes` are unset. Such a request can
+    /// wait or be dropped, but not refused.
+    std::optional<flow_packet> request;
 };
 
 /// Result of `opening_queue::push`.
@@ -58,11 +63,15 @@
     /// Removes and returns an opening that its caller has abandoned, if any.
     std::optional<queued_opening> pop_expired(instant now);
 
-    /// Removes and returns the openings whose turn would come after their
+    /// Removes and returns the openings whose turn would come far after their
     /// callers have abandoned them.
     std::vector<queued_opening> take_hopeless(instant now, std::size_t slots);
 
     [[nodiscard]] bool contains(packet_flow const& flow) const;
+    /// True if an entry that is more urgent than `priority` waits.
+    [[nodiscard]] bool has_more_urgent(std::uint8_t priority) const;
+    /// Removes the entry of the flow, if there is one.
+    void remove(packet_flow const& flow);
     [[nodiscard]] std::size_t size() const { return waiting_.size(); }
     /// Openings that are at least as urgent as `priority`.
     [[nodiscard]] std::size_t count_urgent(std::uint8_t priority) const;
@@ -70,7 +79,7 @@
     static constexpr std::size_t max_size = 512;
     /// Openings of more urgent priorities that are served in a row while one of
     /// the least urgent priority waits. Bounds how long it is starved.
-    static constexpr unsigned max_overtakes = 8;
+    static constexpr unsigned max_overtakes = 16;
 
 private:
     using position = std::vector<queued_opening>::const_iterator;
--- a/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
@@ -159,7 +159,6 @@
         }
         if (it.expects_only_reply())
             return sink.send_backend(packet.bytes);
-        record_caller_packet(now, it, packet);
         it.balancer = from;
         // The result of a running probe is reported when the backend server
         // has responded.
@@ -167,7 +166,11 @@
             it.notified_balancer = from;
             send_held(from, message.flow, it, sink);
         }
-        return sink.send_backend(packet.bytes);
+        if (packet.payload_size > 0 && queue_.contains(message.flow))
+            return; // The caller sends again what follows the queued packet.
+        if (must_wait(it, packet))
+            return enqueue_request(now, from, message, packet, sink);
+        return forward_packet(now, it, packet, sink);
     }
     if (is_table_complete_)
         return send_not_held(from, message, is_locate, message.packet, sink);
@@ -190,6 +193,15 @@
     sink.send_backend(packet.bytes);
 }
 
+template <packet_sink Sink>
+void packet_agent::forward_packet(instant now, internal::held_flow& held,
+    flow_packet const& packet, Sink& sink) {
+    if (packet.is_reset)
+        queue_.remove(packet.from_caller());
+    record_caller_packet(now, held, packet);
+    sink.send_backend(packet.bytes);
+}
+
 template <packet_sink Sink>
 void packet_agent::on_returned(
     instant now, flow_packet const& packet, Sink& sink) {
@@ -300,6 +312,10 @@
 
 template <packet_sink Sink> void packet_agent::stop(instant now, Sink& sink) {
     while (auto it = queue_.pop(now)) {
+        if (it->request) {
+            admit_request(now, *it, sink);
+            continue;
+        }
         it->message.packet = it->packet;
         decline(now, it->balancer, it->message, refusal::draining, sink);
     }
--- a/packages/core/include/radishspread/core/internal/rs_packet_opening_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_opening_impl.hpp
@@ -105,9 +105,57 @@
     sink.send(from, make_report(agent_packet_kind::queued, message.flow));
 }
 
+template <packet_sink Sink>
+void packet_agent::enqueue_request(instant now, endpoint from,
+    agent_packet const& message, flow_packet const& packet, Sink& sink) {
+    internal::queued_opening queued{.balancer = from,
+        .message = message,
+        .packet = {packet.bytes.begin(), packet.bytes.end()},
+        .cost = cost_of(now, message),
+        .request = packet};
+    queued.message.packet = {};
+    queued.message.may_queue = true;
+    queued.request->bytes = {};
+    auto const result = queue_.push(now, std::move(queued), slots());
+    if (result.displaced)
+        decline_queued(now, *result.displaced, sink);
+    if (!result.is_queued)
+        return log_dropped_request(message.flow, duration{0}, sink);
+    sink.log({.number = packet_event::request_queued,
+        .flow = message.flow,
+        .peer = from,
+        .value = static_cast<std::int64_t>(queue_.size()),
+        .priority = priority_of(message.flow.service)});
+}
+
+template <packet_sink Sink>
+void packet_agent::admit_request(
+    instant now, internal::queued_opening const& queued, Sink& sink) {
+    auto const found = flows_.find(queued.message.flow);
+    if (found == flows_.end() ||
+        found->second.state != internal::held_state::open)
+        return;
+    auto packet = *queued.request;
+    packet.bytes = queued.packet;
+    forward_packet(now, found->second, packet, sink);
+}
+
+template <packet_sink Sink>
+void packet_agent::log_dropped_request(
+    packet_flow const& flow, duration queued_for, Sink& sink) {
+    sink.log({.number = packet_event::request_dropped,
+        .flow = flow,
+        .why = refusal::overloaded,
+        .priority = priority_of(flow.service),
+        .queued_for = queued_for});
+}
+
 template <packet_sink Sink>
 void packet_agent::decline_queued(
     instant now, internal::queued_opening const& opening, Sink& sink) {
+    if (opening.request)
+        return log_dropped_request(
+            opening.message.flow, now - opening.queued_at, sink);
     auto message = opening.message;
     message.packet = opening.packet;
     decline(now, opening.balancer, message, refusal::overloaded, sink);
@@ -115,7 +163,12 @@
 
 template <packet_sink Sink>
 void packet_agent::shed_queue(instant now, Sink& sink) {
-    while (auto const expired = queue_.pop_expired(now))
+    while (auto const expired = queue_.pop_expired(now)) {
+        if (expired->request) {
+            log_dropped_request(
+                expired->message.flow, now - expired->queued_at, sink);
+            continue;
+        }
         sink.log({.number = packet_event::opening_dropped,
             .flow = expired->message.flow,
             .peer = expired->balancer,
@@ -124,6 +177,7 @@
                       std::chrono::milliseconds(1),
             .priority = expired->cost.priority,
             .queued_for = now - expired->queued_at});
+    }
     for (auto const& it : queue_.take_hopeless(now, slots()))
         decline_queued(now, it, sink);
 }
@@ -136,6 +190,10 @@
          first != nullptr && has_room(first->message);
          first = queue_.next(now)) {
         auto next = queue_.pop(now);
+        if (next->request) {
+            admit_request(now, *next, sink);
+            continue;
+        }
         auto& message = next->message;
         message.age_ms = static_cast<std::uint16_t>(
             (now - next->cost.first_sent_at) / std::chrono::milliseconds(1));
--- a/packages/core/include/radishspread/core/internal/rs_requests_in_progress.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_requests_in_progress.hpp
@@ -30,16 +30,6 @@
         return std::accumulate(counts_.begin(), end, std::size_t{0});
     }
 
-    /// True if an opening may be passed to the backend server. It may exceed
-    /// `limit`, at most by the number of slots, if less urgent requests are in
-    /// progress: requests on open flows never wait at the agent, so that
-    /// otherwise these would be served before all openings.
-    [[nodiscard]] bool has_room(
-        std::uint8_t priority, std::size_t limit, std::size_t slots) const {
-        auto const less_urgent = total_ - count_urgent(priority);
-        return total_ < limit || total_ - limit < std::min(less_urgent, slots);
-    }
-
 private:
     /// Less urgent priorities count as the last one.
     static constexpr std::size_t priorities = 8;
--- a/packages/core/include/radishspread/core/rs_packet_agent.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_agent.hpp
@@ -92,7 +92,22 @@
     template <packet_sink Sink>
     void enqueue(instant now, endpoint from, agent_packet const& message,
         flow_packet const& packet, Sink& sink);
-    /// Declines a queued opening for lack of a free slot.
+    /// Passes a packet of a known flow to the backend server.
+    template <packet_sink Sink>
+    void forward_packet(instant now, internal::held_flow& held,
+        flow_packet const& packet, Sink& sink);
+    /// Queues the first packet of a request on an open flow.
+    template <packet_sink Sink>
+    void enqueue_request(instant now, endpoint from,
+        agent_packet const& message, flow_packet const& packet, Sink& sink);
+    /// Passes a queued request on an open flow to the backend server.
+    template <packet_sink Sink>
+    void admit_request(
+        instant now, internal::queued_opening const& queued, Sink& sink);
+    template <packet_sink Sink>
+    void log_dropped_request(
+        packet_flow const& flow, duration queued_for, Sink& sink);
+    /// Declines a queued opening for lack of a free slot; drops a request.
     template <packet_sink Sink>
     void decline_queued(
         instant now, internal::queued_opening const& opening, Sink& sink);
@@ -148,8 +163,12 @@
     [[nodiscard]] std::uint8_t priority_of(endpoint address) const;
     [[nodiscard]] internal::opening_cost cost_of(
         instant now, agent_packet const& message) const;
-    /// True if the opening fits to the requests in progress.
+    /// True if the backend server has room for the opening.
     [[nodiscard]] bool has_room(agent_packet const& message) const;
+    /// True if the packet begins a request that has to wait for more urgent
+    /// openings.
+    [[nodiscard]] bool must_wait(
+        internal::held_flow const& held, flow_packet const& packet) const;
     /// Limit of requests in progress below which queued openings are admitted.
     [[nodiscard]] std::size_t queue_limit() const;
     /// Creates a message that reports the load of the backend server.
--- a/packages/core/include/radishspread/core/rs_packet_events.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_events.hpp
@@ -38,6 +38,8 @@
 inline constexpr std::uint16_t backend_unresponsive = 1627;
 inline constexpr std::uint16_t backend_state = 1628;
 inline constexpr std::uint16_t opening_queued = 1629;
+inline constexpr std::uint16_t request_queued = 1630;
+inline constexpr std::uint16_t request_dropped = 1631;
 inline constexpr std::uint16_t routes_applied = 1640;
 inline constexpr std::uint16_t member_changed = 1641;
 inline constexpr std::uint16_t domain_changed = 1642;
@@ -63,7 +65,7 @@
 inline constexpr std::uint16_t read_given_up = 1660;
 inline constexpr std::uint16_t setting_clamped = 1683;
 inline constexpr std::uint16_t address_opened = 1684;
-inline constexpr std::size_t count = 52;
+inline constexpr std::size_t count = 54;
 
 } // namespace packet_event
 
@@ -128,6 +130,12 @@
             "state of the backend server changed; value: 1 draining, 2 cold"},
         {packet_event::opening_queued, severity::info,
             "opening queued for a free slot; value: queued openings"},
+        {packet_event::request_queued, severity::info,
+            "request on an open flow queued behind more urgent openings; "
+            "value: queued openings and requests"},
+        {packet_event::request_dropped, severity::info,
+            "request on an open flow not passed on in time; its caller sends "
+            "it again"},
         {packet_event::routes_applied, severity::info,
             "routes in effect; value: routes"},
         {packet_event::member_changed, severity::info,
--- a/packages/core/src/rs_opening_queue.cpp
+++ b/packages/core/src/rs_opening_queue.cpp
@@ -82,17 +82,20 @@
         }));
 }
 
-// Openings that arrive later may still delay those that stay.
+// A refused caller uses up one of its few retries, so the estimate of the wait
+// must leave no doubt.
 std::vector<queued_opening> opening_queue::take_hopeless(
     instant now, std::size_t slots) {
     std::sort(
         waiting_.begin(), waiting_.end(), [&](auto const& a, auto const& b) {
             return is_served_before(a.cost, b.cost, now);
         });
+    constexpr duration::rep margin = 2;
     duration work{0};
     auto const kept = std::stable_partition(
         waiting_.begin(), waiting_.end(), [&](auto const& it) {
-            if (is_too_late(now, it.cost, share_of_slots(work, slots)))
+            auto const wait = share_of_slots(work, slots) / margin;
+            if (!it.request && is_too_late(now, it.cost, wait))
                 return false;
             work += it.cost.work;
             return true;
@@ -118,6 +121,16 @@
     return out;
 }
 
+bool opening_queue::has_more_urgent(std::uint8_t priority) const {
+    return std::any_of(waiting_.begin(), waiting_.end(),
+        [&](auto const& it) { return it.cost.priority < priority; });
+}
+
+void opening_queue::remove(packet_flow const& flow) {
+    std::erase_if(
+        waiting_, [&](auto const& it) { return it.message.flow == flow; });
+}
+
 bool opening_queue::contains(packet_flow const& flow) const {
     return std::any_of(waiting_.begin(), waiting_.end(),
         [&](auto const& it) { return it.message.flow == flow; });
--- a/packages/core/src/rs_packet_agent.cpp
+++ b/packages/core/src/rs_packet_agent.cpp
@@ -95,12 +95,22 @@
 
 bool packet_agent::has_room(agent_packet const& message) const {
     auto const n = slots();
-    if (n == 0)
-        return true;
-    if (!message.may_queue)
-        return in_progress_.total() < n;
-    return in_progress_.has_room(
-        priority_of(message.flow.service), queue_limit(), n);
+    auto const most = message.may_queue ? queue_limit() : n;
+    return n == 0 || in_progress_.total() < most;
+}
+
+// Requests on open flows reach the backend server without an admission, so that
+// under overload they would take all slots before the openings, however urgent
+// these are.
+bool packet_agent::must_wait(
+    held_flow const& held, flow_packet const& packet) const {
+    bool const begins_request =
+        held.state == held_state::open && !held.is_outstanding &&
+        packet.payload_size > 0 && !packet.is_finish &&
+        held.is_new_end(packet.sequence + packet.payload_size);
+    return begins_request && slots() != 0 &&
+           in_progress_.total() >= queue_limit() &&
+           queue_.has_more_urgent(priority_of(held.route));
 }
 
 bool packet_agent::is_cold(instant now, agent_packet const& message) const {
