Give fewer openings to backend servers that fail their requests

Cause: a backend server that resets, hangs or flaps while it says that it is healthy got as many openings as any other.

Change: the agent judges its backend server by the outcomes on its flows and declines openings, but for trials; balancers set such agents aside, at most a third of a service. Requests on open flows wait only for openings that no other agent has room for, as the balancer says in the opening, and stuck requests do not count as taking slots. Gauges for failing backend servers and queued requests.

--- a/packages/core/include/radishspread/core/internal/rs_agent_loads.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_agent_loads.hpp
@@ -30,6 +30,7 @@
     instant reported_at;
     unsigned consecutive_misses = 0; ///< Openings in a row without a reply.
     instant suspect_until;
+    instant failing_until;   ///< Its backend server fails many requests.
     instant unreplied_since; ///< Time of the first unreplied request.
     unsigned unreplied = 0;  ///< Requests since then; a burst counts as one.
     instant last_counted_at; ///< Time of the last request in `unreplied`.
@@ -73,6 +74,11 @@
     [[nodiscard]] bool is_unresponsive(
         instant now, endpoint agent, duration limit) const;
     [[nodiscard]] bool is_suspect(instant now, endpoint agent) const;
+    /// Records that the backend server of the agent fails many requests, which
+    /// is assumed for `time`. True if it was not assumed before.
+    bool failing_reported(instant now, endpoint agent, duration time);
+    [[nodiscard]] bool is_failing(instant now, endpoint agent) const;
+    [[nodiscard]] std::size_t count_failing(instant now) const;
     /// True if the agent has recently reported that its flow table may be
     /// incomplete.
     [[nodiscard]] bool is_uncertain(instant now, endpoint agent) const;
--- a/packages/core/include/radishspread/core/internal/rs_held_flow.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_held_flow.hpp
@@ -25,6 +25,7 @@
     held_state state = held_state::opening;
     bool is_outstanding = false; ///< A response to the opening or to the
                                  ///< caller's data is pending.
+    bool has_failed = false;     ///< The outstanding request counts as failed.
     bool has_data = false;       ///< The caller has sent data.
     bool caller_finished = false;
     bool backend_finished = false;
--- a/packages/core/include/radishspread/core/internal/rs_opening_queue.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_opening_queue.hpp
@@ -68,8 +68,9 @@
     std::vector<queued_opening> take_hopeless(instant now, std::size_t slots);
 
     [[nodiscard]] bool contains(packet_flow const& flow) const;
-    /// True if an entry that is more urgent than `priority` waits.
-    [[nodiscard]] bool has_more_urgent(std::uint8_t priority) const;
+    /// True if an opening that is more urgent than `priority` waits and no
+    /// other agent of its service has room for it.
+    [[nodiscard]] bool must_precede(std::uint8_t priority) const;
     /// Removes the entry of the flow, if there is one.
     void remove(packet_flow const& flow);
     [[nodiscard]] std::size_t size() const { return waiting_.size(); }
--- a/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
@@ -4,6 +4,7 @@
 #include <radishspread/core/rs_packet_agent.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace radishspread {
 
@@ -22,6 +23,7 @@
         .value = gap / std::chrono::milliseconds(1)});
     oldest_unreplied_at_ = {};
     oldest_probe_at_ = {};
+    awaiting_response_.clear(); // Responses may have come in the pause.
     sink.refresh_view();
     return true;
 }
@@ -296,6 +298,8 @@
     check_pause(now, sink);
     view_.tick(now);
     expire_unused(now);
+    expire_responses(now);
+    report_health(now, sink);
     shed_queue(now, sink);
     serve_queue(now, sink);
     if (!is_unresponsive_ && oldest_unreplied_at_ != instant{} &&
@@ -310,6 +314,14 @@
     sweep(now);
 }
 
+template <packet_sink Sink>
+void packet_agent::report_health(instant now, Sink& sink) {
+    bool const is_failing = health_.is_failing(now);
+    if (std::exchange(was_failing_, is_failing) != is_failing)
+        sink.log({.number = packet_event::backend_failing,
+            .value = is_failing ? 1 : 0});
+}
+
 template <packet_sink Sink> void packet_agent::stop(instant now, Sink& sink) {
     while (auto it = queue_.pop(now)) {
         if (it->request) {
--- a/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
@@ -127,9 +127,11 @@
         internal::choose_agent({list.data(), list.size()}, random_.next());
     if (chosen == nullptr || pending.declines >= options_.max_declines)
         return on_agents_exhausted(now, flow, pending, sink);
-    // All candidates have reported a backlog. Trying them one after another for
-    // a free slot would only delay the opening.
-    if (chosen->load_per_slot >= internal::backlog_load_per_slot)
+    // All candidates have reported a backlog or that they fail. Trying them one
+    // after another for a free slot would only delay the opening.
+    pending.is_service_full =
+        chosen->load_per_slot >= internal::backlog_load_per_slot;
+    if (pending.is_service_full || chosen->is_failing)
         pending.may_queue = true;
     send_open(now, flow, pending, chosen->agent, sink);
     return true;
@@ -146,6 +148,7 @@
     auto message = make_open(now, flow, pending.service, agent,
         {pending.packet.data(), pending.packet.size()});
     message.may_queue = pending.may_queue;
+    message.is_service_full = pending.is_service_full;
     message.age_ms = pending.age_ms(now);
     sink.log(
         {.number = pending.tried.size() == 1 ? packet_event::opening_sent
@@ -165,6 +168,7 @@
     auto message = make_open(now, flow, pending.service, pending.agent,
         {pending.packet.data(), pending.packet.size()});
     message.may_queue = pending.may_queue;
+    message.is_service_full = pending.is_service_full;
     message.age_ms = pending.age_ms(now);
     sink.send(pending.agent, message);
 }
@@ -287,6 +291,9 @@
 void packet_balancer::on_declined(
     instant now, endpoint from, agent_packet const& message, Sink& sink) {
     loads_.load_reported(now, from, message, priority_of(message.flow.service));
+    if (message.why == refusal::failing &&
+        loads_.failing_reported(now, from, options_.failing_time))
+        sink.log({.number = packet_event::agent_failing, .peer = from});
     auto found = openings_.find(message.flow);
     if (found == openings_.end()) {
         if (!forget_ended_flow(now, from, message))
@@ -297,7 +304,7 @@
     pending.last_refusal = message.why;
     if (pending.is_queued && pending.agent == from)
         pending.leave_queue();
-    if (message.why == refusal::overloaded) {
+    if (message.why == refusal::overloaded || message.why == refusal::failing) {
         ++pending.declines;
         auto const load = loads_.urgent_per_slot(
             now, from, message.slots, priority_of(message.flow.service));
--- a/packages/core/include/radishspread/core/internal/rs_pending_opening.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_pending_opening.hpp
@@ -23,9 +23,10 @@
     endpoint least_loaded; ///< Among agents without a free slot.
     double least_load = 0;
     bool may_queue = false;
-    bool is_queued = false;    ///< At `agent`, which replies later.
-    bool awaits_retry = false; ///< No retry token was available.
-    bool awaits_view = false;  ///< Waits until newer routes are read.
+    bool is_service_full = false; ///< All agents have a backlog.
+    bool is_queued = false;       ///< At `agent`, which replies later.
+    bool awaits_retry = false;    ///< No retry token was available.
+    bool awaits_view = false;     ///< Waits until newer routes are read.
     /// An agent that was tried has not replied and may still admit the opening.
     bool has_unresponsive_agent = false;
     refusal last_refusal = refusal::none;
@@ -38,6 +39,7 @@
         tried.clear();
         declines = 0;
         may_queue = false;
+        is_service_full = false;
         least_loaded = {};
     }
 
--- a/packages/core/include/radishspread/core/rs_agent_packet.hpp
+++ b/packages/core/include/radishspread/core/rs_agent_packet.hpp
@@ -50,6 +50,9 @@
     refusal why = refusal::none;
     /// `open`: the agent may queue the opening if there is no free slot.
     bool may_queue = false;
+    /// `open`: all agents of the service have a backlog, as far as the balancer
+    /// knows.
+    bool is_service_full = false;
     /// `open`: the backend server is cold according to the balancer's view.
     bool is_cold = false;
     /// `not_held`: reply to `locate`; the balancer is searching already, so the
--- a/packages/core/include/radishspread/core/rs_packet_agent.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_agent.hpp
@@ -1,6 +1,7 @@
 #ifndef RADISHSPREAD_CORE_RS_PACKET_AGENT_HPP
 #define RADISHSPREAD_CORE_RS_PACKET_AGENT_HPP
 
+#include <radishspread/core/internal/rs_backend_health.hpp>
 #include <radishspread/core/internal/rs_held_flow.hpp>
 #include <radishspread/core/internal/rs_opening_queue.hpp>
 #include <radishspread/core/internal/rs_rate_window.hpp>
@@ -69,6 +70,10 @@
         return !is_table_complete_ &&
                now - started_at_ < options_.announcement_timeout;
     }
+    /// True if the backend server fails many requests.
+    [[nodiscard]] bool is_failing(instant now) const {
+        return health_.is_failing(now);
+    }
     /// Openings that wait for a free slot.
     [[nodiscard]] std::size_t queued() const { return queue_.size(); }
 
@@ -182,6 +187,10 @@
         instant now, internal::held_flow& it, flow_packet const& packet);
     void record_backend_packet(
         instant now, internal::held_flow& it, flow_packet const& packet);
+    /// Records requests that have had no response for too long as failed.
+    void expire_responses(instant now);
+    /// Logs a change of the health of the backend server.
+    template <packet_sink Sink> void report_health(instant now, Sink& sink);
     /// Frees the slots of openings whose callers have sent no data within
     /// `unused_limit`.
     void expire_unused(instant now);
@@ -200,6 +209,7 @@
     std::deque<std::pair<instant, packet_flow>> unused_;
     std::size_t open_ = 0;
     internal::requests_in_progress in_progress_;
+    std::size_t stuck_ = 0; ///< Requests in progress that count as failed.
     internal::version_claims claims_; ///< By messages, of the routes.
     internal::rate_window cold_window_{std::chrono::seconds(1)};
     std::uint16_t reported_slots_ = 0; ///< From the last `open` message.
@@ -209,6 +219,10 @@
     bool is_table_complete_ = false;
     internal::opening_queue queue_;
     internal::work_estimates work_;
+    internal::backend_health health_;
+    bool was_failing_ = false; ///< As last logged.
+    /// Requests that the backend server was given, oldest first.
+    std::deque<std::pair<instant, packet_flow>> awaiting_response_;
     instant started_at_;
     instant last_event_at_;
     instant oldest_probe_at_;     ///< First probe without a later reply.
--- a/packages/core/include/radishspread/core/rs_packet_agent_options.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_agent_options.hpp
@@ -30,6 +30,11 @@
     /// An opening whose caller sends no data frees its slot after this long:
     /// the caller may be using the connection of another backend server.
     duration unused_limit = std::chrono::milliseconds(50);
+    /// A request without a response for this long, and for `slow_factor` times
+    /// the mean work of its route, counts as failed.
+    duration min_response_limit = std::chrono::milliseconds(250);
+    /// Some requests take several times as long as most.
+    int slow_factor = 8;
     /// A backend server that sends nothing for this long after an opening
     /// counts as unresponsive.
     duration opening_timeout = std::chrono::milliseconds(100);
--- a/packages/core/include/radishspread/core/rs_packet_balancer.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_balancer.hpp
@@ -75,6 +75,10 @@
     [[nodiscard]] fleet_view const& view() const { return view_; }
     [[nodiscard]] std::size_t flows() const { return flows_.size(); }
     [[nodiscard]] std::size_t openings() const { return openings_.size(); }
+    /// Agents whose backend servers have been reported as failing lately.
+    [[nodiscard]] std::size_t failing_agents(instant now) const {
+        return loads_.count_failing(now);
+    }
 
 private:
     using opening = internal::pending_opening;
--- a/packages/core/include/radishspread/core/rs_packet_balancer_options.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_balancer_options.hpp
@@ -34,6 +34,9 @@
     duration view_wait = std::chrono::milliseconds(100);
     /// Time for which an agent that does not reply is suspect.
     duration suspect_time = std::chrono::seconds(2);
+    /// Time for which a backend server that its agent reports as failing is
+    /// taken for failing; then its agent is asked again.
+    duration failing_time = std::chrono::seconds(1);
     /// Time for which a leaving agent is suspect; covers its restart.
     duration leaving_suspect_time = std::chrono::seconds(1);
     /// Load reports older than this are ignored.
--- a/packages/core/include/radishspread/core/rs_packet_events.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_events.hpp
@@ -40,6 +40,8 @@
 inline constexpr std::uint16_t opening_queued = 1629;
 inline constexpr std::uint16_t request_queued = 1630;
 inline constexpr std::uint16_t request_dropped = 1631;
+inline constexpr std::uint16_t backend_failing = 1632;
+inline constexpr std::uint16_t agent_failing = 1617;
 inline constexpr std::uint16_t routes_applied = 1640;
 inline constexpr std::uint16_t member_changed = 1641;
 inline constexpr std::uint16_t domain_changed = 1642;
@@ -65,7 +67,7 @@
 inline constexpr std::uint16_t read_given_up = 1660;
 inline constexpr std::uint16_t setting_clamped = 1683;
 inline constexpr std::uint16_t address_opened = 1684;
-inline constexpr std::size_t count = 54;
+inline constexpr std::size_t count = 56;
 
 } // namespace packet_event
 
@@ -136,6 +138,11 @@
         {packet_event::request_dropped, severity::info,
             "request on an open flow not passed on in time; its caller sends "
             "it again"},
+        {packet_event::backend_failing, severity::warning,
+            "backend server fails many requests; value: 1 failing, 0 "
+            "recovered"},
+        {packet_event::agent_failing, severity::info,
+            "agent reports that its backend server fails many requests"},
         {packet_event::routes_applied, severity::info,
             "routes in effect; value: routes"},
         {packet_event::member_changed, severity::info,
--- a/packages/core/include/radishspread/core/rs_refusal.hpp
+++ b/packages/core/include/radishspread/core/rs_refusal.hpp
@@ -22,10 +22,11 @@
     not_held,        ///< The backend server does not hold the flow.
     unproven_view,   ///< This process has no routes in effect yet.
     unanswered,      ///< No agent replied in time.
+    failing,         ///< The backend server fails many requests.
 };
 
 /// Largest value, for range checks in decoders.
-inline constexpr refusal last_refusal = refusal::unanswered;
+inline constexpr refusal last_refusal = refusal::failing;
 
 /// Name of the value, as used in logs and metrics.
 [[nodiscard]] std::string_view to_string(refusal value);
--- a/packages/core/src/rs_agent_loads.cpp
+++ b/packages/core/src/rs_agent_loads.cpp
@@ -109,6 +109,23 @@
     return it != loads_.end() && it->second.suspect_until > now;
 }
 
+bool agent_loads::failing_reported(instant now, endpoint agent, duration time) {
+    auto& load = loads_[agent];
+    bool const is_new = load.failing_until <= now;
+    load.failing_until = now + time;
+    return is_new;
+}
+
+bool agent_loads::is_failing(instant now, endpoint agent) const {
+    auto const it = loads_.find(agent);
+    return it != loads_.end() && it->second.failing_until > now;
+}
+
+std::size_t agent_loads::count_failing(instant now) const {
+    return static_cast<std::size_t>(std::count_if(loads_.begin(), loads_.end(),
+        [&](auto const& it) { return it.second.failing_until > now; }));
+}
+
 bool agent_loads::is_uncertain(instant now, endpoint agent) const {
     auto const it = loads_.find(agent);
     return it != loads_.end() && it->second.uncertain_until > now;
--- a/packages/core/src/rs_opening_queue.cpp
+++ b/packages/core/src/rs_opening_queue.cpp
@@ -121,9 +121,10 @@
     return out;
 }
 
-bool opening_queue::has_more_urgent(std::uint8_t priority) const {
-    return std::any_of(waiting_.begin(), waiting_.end(),
-        [&](auto const& it) { return it.cost.priority < priority; });
+bool opening_queue::must_precede(std::uint8_t priority) const {
+    return std::any_of(waiting_.begin(), waiting_.end(), [&](auto const& it) {
+        return it.message.is_service_full && it.cost.priority < priority;
+    });
 }
 
 void opening_queue::remove(packet_flow const& flow) {
--- a/packages/core/src/rs_packet_agent.cpp
+++ b/packages/core/src/rs_packet_agent.cpp
@@ -101,7 +101,8 @@
 
 // Requests on open flows reach the backend server without an admission, so that
 // under overload they would take all slots before the openings, however urgent
-// these are.
+// these are. While only this backend server is slow or stuck, openings can go
+// to others, and the requests on its flows cannot.
 bool packet_agent::must_wait(
     held_flow const& held, flow_packet const& packet) const {
     bool const begins_request =
@@ -109,8 +110,8 @@
         packet.payload_size > 0 && !packet.is_finish &&
         held.is_new_end(packet.sequence + packet.payload_size);
     return begins_request && slots() != 0 &&
-           in_progress_.total() >= queue_limit() &&
-           queue_.has_more_urgent(priority_of(held.route));
+           in_progress_.total() - stuck_ >= queue_limit() &&
+           queue_.must_precede(priority_of(held.route));
 }
 
 bool packet_agent::is_cold(instant now, agent_packet const& message) const {
@@ -148,6 +149,10 @@
         return refusal::draining;
     if (is_unresponsive_ && now < next_trial_at_)
         return refusal::unresponsive;
+    // An opening that may be queued has found no better backend server.
+    if (health_.is_failing(now) && !message.may_queue &&
+        !health_.take_trial(now))
+        return refusal::failing;
     reported_slots_ = message.slots;
     if (!has_room(message))
         return refusal::overloaded;
@@ -174,8 +179,11 @@
 }
 
 void packet_agent::record_response(instant now, held_flow& it) {
-    if (it.is_outstanding)
+    if (it.is_outstanding) {
         work_.record(it.route, now - it.outstanding_since);
+        if (!it.has_failed)
+            health_.record(now, false);
+    }
     set_outstanding(now, it, false);
 }
 
@@ -183,9 +191,12 @@
     if (it.is_outstanding == value)
         return;
     it.is_outstanding = value;
-    if (!value)
+    if (!value) {
+        stuck_ -= it.has_failed ? 1U : 0U;
         return in_progress_.remove(it.priority);
+    }
     it.outstanding_since = now;
+    it.has_failed = false;
     it.priority = priority_of(it.route);
     in_progress_.add(it.priority);
 }
@@ -201,6 +212,27 @@
     return it->second;
 }
 
+void packet_agent::expire_responses(instant now) {
+    while (
+        !awaiting_response_.empty() &&
+        now - awaiting_response_.front().first >= options_.min_response_limit) {
+        auto const [since, flow] = awaiting_response_.front();
+        auto const limit = work_.of(flow.service) * options_.slow_factor;
+        if (now - since < limit)
+            return;
+        awaiting_response_.pop_front();
+        auto const found = flows_.find(flow);
+        bool const is_outstanding =
+            found != flows_.end() && found->second.is_outstanding &&
+            found->second.has_data && found->second.outstanding_since == since;
+        if (!is_outstanding)
+            continue;
+        found->second.has_failed = true;
+        ++stuck_;
+        health_.record(now, true);
+    }
+}
+
 void packet_agent::expire_unused(instant now) {
     while (!unused_.empty() &&
            now - unused_.front().first >= options_.unused_limit) {
@@ -266,6 +298,9 @@
         it.has_data = true;
         if (it.record_caller_bytes(packet.sequence + packet.payload_size))
             set_outstanding(now, it, true);
+        if (it.is_outstanding && awaiting_response_.size() < options_.max_flows)
+            awaiting_response_.emplace_back(
+                it.outstanding_since, packet.from_caller());
     }
     it.caller_finished = it.caller_finished || packet.is_finish;
     if (packet.is_reset || (it.caller_finished && it.backend_finished)) {
@@ -277,9 +312,17 @@
 void packet_agent::record_backend_packet(
     instant now, held_flow& it, flow_packet const& packet) {
     it.last_packet_at = now;
+    bool const ends_without_response =
+        packet.payload_size == 0 && (packet.is_finish || packet.is_reset);
+    // A finish may overtake the response that was sent before it.
+    bool const is_failure = packet.is_reset && it.is_outstanding &&
+                            it.has_data && !it.has_failed &&
+                            it.state == held_state::open;
+    if (is_failure)
+        health_.record(now, true);
     if (packet.payload_size > 0)
         record_response(now, it);
-    else if (packet.is_finish || packet.is_reset)
+    else if (ends_without_response)
         set_outstanding(now, it, false);
     it.backend_finished = it.backend_finished || packet.is_finish;
     if (packet.is_reset || (it.caller_finished && it.backend_finished)) {
--- a/packages/core/src/rs_packet_balancer.cpp
+++ b/packages/core/src/rs_packet_balancer.cpp
@@ -148,6 +148,8 @@
 internal::placement_candidates packet_balancer::candidates(
     instant now, opening const& pending) const {
     internal::placement_candidates list;
+    std::size_t eligible = 0;
+    std::size_t failing = 0;
     for (auto const* member : view_.members_of(pending.service)) {
         auto const agent = agent_of(*member);
         bool const was_tried =
@@ -155,17 +157,24 @@
             pending.tried.end();
         // Whether the address belongs to another service by now, its agent
         // knows.
-        if (was_tried || !view_.is_eligible(now, *member) ||
+        if (!view_.is_eligible(now, *member) ||
             view_.find(member->backend, member->service) != member)
             continue;
+        bool const is_failing = loads_.is_failing(now, agent);
+        ++eligible;
+        failing += is_failing ? 1U : 0U;
+        if (was_tried)
+            continue;
         list.push_back({.agent = agent,
             .is_local = member->domain == options_.domain,
+            .is_failing = is_failing,
             .is_suspect = loads_.is_suspect(now, agent),
             .load_per_slot = loads_.load_per_slot(now, agent, member->slots),
             .urgent_per_slot = loads_.urgent_per_slot(
                 now, agent, member->slots, pending.priority),
             .flows_per_slot = loads_.flows_per_slot(agent, member->slots)});
     }
+    internal::set_failing_aside({list.data(), list.size()}, eligible, failing);
     return list;
 }
 
--- a/packages/core/src/rs_packet_names.cpp
+++ b/packages/core/src/rs_packet_names.cpp
@@ -14,10 +14,10 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 14> refusal_names{"none",
+constexpr std::array<std::string_view, 15> refusal_names{"none",
     "unknown_route", "no_candidate", "other_service", "stale_view", "draining",
     "domain_out", "warming_up", "overloaded", "backend_refused", "unresponsive",
-    "not_held", "unproven_view", "unanswered"};
+    "not_held", "unproven_view", "unanswered", "failing"};
 static_assert(
     refusal_names.size() == static_cast<std::size_t>(last_refusal) + 1);
 
--- a/packages/core/src/rs_placement.cpp
+++ b/packages/core/src/rs_placement.cpp
@@ -39,13 +39,23 @@
 
 } // namespace
 
+void set_failing_aside(std::span<placement_candidate> candidates,
+    std::size_t eligible, std::size_t failing) {
+    bool const are_few = static_cast<double>(failing) <=
+                         max_set_aside_share * static_cast<double>(eligible);
+    for (auto& it : candidates)
+        it.is_set_aside = it.is_failing && are_few;
+}
+
 placement_candidate const* choose_agent(
     std::span<placement_candidate const> candidates, std::uint64_t random) {
     // In order of preference: local with free slots, others without a backlog,
-    // agents with a backlog, suspect agents.
-    std::array<pointer_list, 4> groups;
+    // agents with a backlog, those set aside, suspect agents.
+    std::array<pointer_list, 5> groups;
     for (auto const& it : candidates) {
         if (it.is_suspect)
+            groups[4].push_back(&it);
+        else if (it.is_set_aside)
             groups[3].push_back(&it);
         else if (it.load_per_slot >= backlog_load_per_slot)
             groups[2].push_back(&it);
--- a/packages/core/tests/rs_packet_agent_queue_test.cpp
+++ b/packages/core/tests/rs_packet_agent_queue_test.cpp
@@ -159,6 +159,15 @@
         return flow;
     }
 
+    /// Queues an opening that no other agent has room for.
+    void queue_urgent(std::uint16_t port, int ms) {
+        auto opening = message(agent_packet_kind::open, urgent_flow(port));
+        opening.may_queue = true;
+        opening.is_service_full = true;
+        deliver(core, at(ms), balancer_one, opening,
+            opening_packet(urgent_flow(port)));
+    }
+
     /// Opens a flow whose first request has been responded to.
     void open_idle_flow(std::uint16_t port, int ms) {
         establish(flow_of(port), ms);
@@ -182,7 +191,7 @@
 TEST(packet_agent_overload, request_on_an_open_flow_waits_for_urgent_openings) {
     open_idle_flow(1, 0);
     fill_slots(100);
-    open_or_queue(urgent_flow(2), 101);
+    queue_urgent(2, 101);
     sink.clear();
     request(1, 10, 102);
     CHECK_EQUAL(0, sink.to_backend);
@@ -209,7 +218,7 @@
 TEST(packet_agent_overload, copy_of_a_queued_request_is_not_passed_on) {
     open_idle_flow(1, 0);
     fill_slots(100);
-    open_or_queue(urgent_flow(2), 101);
+    queue_urgent(2, 101);
     request(1, 10, 102);
     sink.clear();
     request(1, 10, 302);
@@ -223,7 +232,7 @@
     open_idle_flow(1, 0);
     request(1, 10, 3);
     fill_slots(100);
-    open_or_queue(urgent_flow(2), 101);
+    queue_urgent(2, 101);
     sink.clear();
     request(1, 20, 102);
     CHECK_EQUAL(1, sink.to_backend);
@@ -232,7 +241,7 @@
 TEST(packet_agent_overload, queued_request_of_a_reset_flow_is_forgotten) {
     open_idle_flow(1, 0);
     fill_slots(100);
-    open_or_queue(urgent_flow(2), 101);
+    queue_urgent(2, 101);
     request(1, 10, 102);
     auto reset = caller_packet_of(flow_of(1), 101);
     reset.is_reset = true;
@@ -245,7 +254,7 @@
 TEST(packet_agent_overload, queued_request_that_is_late_is_dropped) {
     open_idle_flow(1, 0);
     fill_slots(100);
-    open_or_queue(urgent_flow(2), 101);
+    queue_urgent(2, 101);
     request(1, 10, 102);
     sink.clear();
     core.tick(at(1500), sink);
@@ -258,7 +267,7 @@
 TEST(packet_agent_overload, stopping_agent_passes_queued_requests_on) {
     open_idle_flow(1, 0);
     fill_slots(100);
-    open_or_queue(urgent_flow(2), 101);
+    queue_urgent(2, 101);
     request(1, 10, 102);
     sink.clear();
     core.stop(at(103), sink);
@@ -266,6 +275,32 @@
     CHECK_EQUAL(1, sink.count(agent_packet_kind::declined));
 }
 
+// A backend server that answers some requests never had slots for the others.
+TEST(packet_agent_overload, request_does_not_wait_for_stuck_ones) {
+    open_idle_flow(1, 0);
+    for (std::uint16_t n = 101; n <= 103; ++n) {
+        open_or_queue(flow_of(n), 100);
+        core.handle_backend(at(100), opening_reply_of(flow_of(n), 100), sink);
+        request(n, 0, 101);
+    }
+    queue_urgent(2, 102);
+    core.tick(at(900), sink);
+    sink.clear();
+    request(1, 10, 901);
+    CHECK_EQUAL(1, sink.to_backend);
+}
+
+// A single backend server was slow: requests on its flows were held back for
+// openings that others could have taken.
+TEST(packet_agent_overload, request_does_not_wait_if_other_agents_have_room) {
+    open_idle_flow(1, 0);
+    fill_slots(100);
+    open_or_queue(urgent_flow(2), 101);
+    sink.clear();
+    request(1, 10, 102);
+    CHECK_EQUAL(1, sink.to_backend);
+}
+
 TEST(packet_agent_overload, report_counts_the_requests_that_are_as_urgent) {
     fill_slots(0);
     open(urgent_flow(2), 1);
--- a/packages/core/tests/rs_packet_balancer_test.cpp
+++ b/packages/core/tests/rs_packet_balancer_test.cpp
@@ -102,6 +102,7 @@
     open(flow_of(2), 2);
     CHECK_EQUAL(1, sink.count(agent_packet_kind::open));
     CHECK(sink.sent.back().message.may_queue);
+    CHECK(sink.sent.back().message.is_service_full);
     reply_held(agent_address(3), flow_of(9), 3);
     CHECK(open(flow_of(3), 4) == agent_address(3));
     CHECK(!sink.sent.back().message.may_queue);
@@ -339,6 +340,7 @@
     for (int n = 0; n != 40 && !sink.sent.back().message.may_queue; ++n)
         reply_declined(sink.sent.back().to, flow_of(1), refusal::overloaded, 1);
     CHECK(sink.sent.size() <= packet_balancer_options{}.max_declines + 1);
+    CHECK(!sink.sent.back().message.is_service_full);
 }
 
 TEST(packet_balancer, opening_message_carries_its_age) {
--- a/packages/core/tests/rs_placement_test.cpp
+++ b/packages/core/tests/rs_placement_test.cpp
@@ -102,6 +102,30 @@
         CHECK_EQUAL(1, choose_agent(list, n * 77)->agent.address);
 }
 
+TEST(placement, failing_agent_is_chosen_after_those_with_a_backlog) {
+    std::vector<placement_candidate> list{
+        candidate_of(1, true, 0), candidate_of(2, false, 3)};
+    list[0].is_failing = true;
+    set_failing_aside(list, 3, 1);
+    for (std::uint64_t n = 0; n != 20; ++n)
+        CHECK_EQUAL(2, choose_agent(list, n * 77)->agent.address);
+}
+
+// The others could not bear the load of more than a third of the service.
+TEST(placement, too_many_failing_agents_are_used_like_others) {
+    std::vector<placement_candidate> list;
+    for (std::uint32_t n = 1; n <= 6; ++n)
+        list.push_back(candidate_of(n, true, n <= 3 ? 0 : 3));
+    for (std::size_t n = 0; n != 3; ++n)
+        list[n].is_failing = true;
+    set_failing_aside(list, 6, 3);
+    for (std::uint64_t n = 0; n != 20; ++n)
+        CHECK(choose_agent(list, n * 77)->agent.address <= 3);
+    set_failing_aside(list, 9, 3);
+    for (std::uint64_t n = 0; n != 20; ++n)
+        CHECK(choose_agent(list, n * 77)->agent.address > 3);
+}
+
 // Open flows cause requests later, so they decide between equal loads.
 TEST(placement, fewer_open_flows_decide_between_equal_loads) {
     std::vector<placement_candidate> list{
--- a/packages/runtime/include/radishspread/runtime/rs_packet_agent_process.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_agent_process.hpp
@@ -30,7 +30,14 @@
                   .seed = random_number()},
               initial_collect_interval,
               [this](item_page const& page, bool) { handle_page(page); },
-              agent_side_socket) {}
+              agent_side_socket) {
+        shell.metrics().add_gauge("radishspread_queued_requests",
+            "Openings and requests that wait for a slot.",
+            [this] { return static_cast<double>(core_.queued()); });
+        shell.metrics().add_gauge("radishspread_backend_failing",
+            "1 if the backend server fails many requests.",
+            [this] { return core_.is_failing(shell_.now()) ? 1.0 : 0.0; });
+    }
 
     [[nodiscard]] int run() {
         core_.start(shell_.update_clock(), *this);
--- a/packages/runtime/include/radishspread/runtime/rs_packet_balancer_process.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_balancer_process.hpp
@@ -28,7 +28,12 @@
               [this](item_page const& page, bool is_complete_read) {
                   handle_page(page, is_complete_read);
               },
-              caller_side_socket) {}
+              caller_side_socket) {
+        shell.metrics().add_gauge("radishspread_agents_failing",
+            "Agents whose backend servers are reported as failing.", [this] {
+                return static_cast<double>(core_.failing_agents(shell_.now()));
+            });
+    }
 
     [[nodiscard]] int run() {
         core_.start(shell_.update_clock(), *this);
--- a/packages/wire/src/rs_agent_packet_codec.cpp
+++ b/packages/wire/src/rs_agent_packet_codec.cpp
@@ -21,6 +21,7 @@
 constexpr std::uint8_t must_reply_flag = 8;
 constexpr std::uint8_t uncertain_flag = 16;
 constexpr std::uint8_t reassigned_flag = 32;
+constexpr std::uint8_t service_full_flag = 64;
 
 /// Wire layout of the header: big-endian, without padding.
 struct header {
@@ -50,7 +51,8 @@
                            (it.is_locate_reply ? locate_reply_flag : 0U) |
                            (it.must_reply ? must_reply_flag : 0U) |
                            (it.is_uncertain ? uncertain_flag : 0U) |
-                           (it.is_of_reassigned ? reassigned_flag : 0U);
+                           (it.is_of_reassigned ? reassigned_flag : 0U) |
+                           (it.is_service_full ? service_full_flag : 0U);
     return static_cast<std::uint8_t>(flags);
 }
 
@@ -100,6 +102,7 @@
         .kind = static_cast<agent_packet_kind>(in.kind),
         .why = static_cast<refusal>(in.why),
         .may_queue = (in.flags & may_queue_flag) != 0,
+        .is_service_full = (in.flags & service_full_flag) != 0,
         .is_cold = (in.flags & cold_flag) != 0,
         .is_locate_reply = (in.flags & locate_reply_flag) != 0,
         .must_reply = (in.flags & must_reply_flag) != 0,
--- a/packages/wire/tests/rs_agent_packet_codec_test.cpp
+++ b/packages/wire/tests/rs_agent_packet_codec_test.cpp
@@ -28,6 +28,7 @@
     agent_packet message{.kind = agent_packet_kind::declined,
         .why = refusal::overloaded,
         .may_queue = true,
+        .is_service_full = true,
         .is_cold = true,
         .is_locate_reply = true,
         .must_reply = true,
@@ -52,6 +53,7 @@
     CHECK(out.has_value());
     CHECK(out->kind == message.kind && out->why == message.why);
     CHECK(out->may_queue && out->is_cold && out->is_locate_reply);
+    CHECK(out->is_service_full);
     CHECK(out->must_reply && out->is_uncertain && out->is_of_reassigned);
     CHECK_EQUAL(message.service, out->service);
     CHECK_EQUAL(message.route_version, out->route_version);
