--- a/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_balancer_impl.hpp
@@ -89,7 +89,7 @@
             .flow = flow,
             .why = refusal::overloaded,
             .version = view_.route_version(),
-            .priority = priority_of(flow.service)});
+            .priority = view_.priority_of(flow.service)});
         return sink.reset_caller(flow, 0);
     }
     auto& pending = entry->second;
@@ -108,7 +108,7 @@
     pending.awaits_view = false;
     pending.clear_attempts();
     pending.service = view_.service_of(flow.service);
-    pending.priority = priority_of(flow.service);
+    pending.priority = view_.priority_of(flow.service);
     if (pending.service != 0)
         return place_opening(now, flow, pending, sink);
     sink.log({.number = packet_event::opening_refused,
@@ -267,7 +267,8 @@
 template <packet_sink Sink>
 void packet_balancer::on_held(
     instant now, endpoint from, agent_packet const& message, Sink& sink) {
-    loads_.load_reported(now, from, message, priority_of(message.flow.service));
+    loads_.load_reported(
+        now, from, message, view_.priority_of(message.flow.service));
     bool const was_opening = openings_.erase(message.flow) > 0;
     if (was_opening)
         retries_.reply_received();
@@ -290,7 +291,8 @@
 template <packet_sink Sink>
 void packet_balancer::on_declined(
     instant now, endpoint from, agent_packet const& message, Sink& sink) {
-    loads_.load_reported(now, from, message, priority_of(message.flow.service));
+    loads_.load_reported(
+        now, from, message, view_.priority_of(message.flow.service));
     if (message.why == refusal::failing &&
         loads_.failing_reported(now, from, options_.failing_time))
         sink.log({.number = packet_event::agent_failing, .peer = from});
@@ -307,7 +309,7 @@
     if (message.why == refusal::overloaded || message.why == refusal::failing) {
         ++pending.declines;
         auto const load = loads_.urgent_per_slot(
-            now, from, message.slots, priority_of(message.flow.service));
+            now, from, message.slots, view_.priority_of(message.flow.service));
         if (!pending.least_loaded.is_set() || load < pending.least_load) {
             pending.least_loaded = from;
             pending.least_load = load;
--- a/packages/core/include/radishspread/core/internal/rs_packet_opening_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_opening_impl.hpp
@@ -16,7 +16,7 @@
         .why = why,
         .version = message.route_version,
         .value = static_cast<std::int64_t>(in_progress_.total()),
-        .priority = priority_of(message.flow.service)});
+        .priority = view_.priority_of(message.flow.service)});
     auto reply = make_report(agent_packet_kind::declined, message.flow);
     reply.why = why;
     reply.packet = message.packet;
@@ -101,7 +101,7 @@
         .version = message.route_version,
         .value = static_cast<std::int64_t>(queue_.size()),
         .age_ms = message.age_ms,
-        .priority = priority_of(message.flow.service)});
+        .priority = view_.priority_of(message.flow.service)});
     sink.send(from, make_report(agent_packet_kind::queued, message.flow));
 }
 
@@ -125,7 +125,7 @@
         .flow = message.flow,
         .peer = from,
         .value = static_cast<std::int64_t>(queue_.size()),
-        .priority = priority_of(message.flow.service)});
+        .priority = view_.priority_of(message.flow.service)});
 }
 
 template <packet_sink Sink>
@@ -146,7 +146,7 @@
     sink.log({.number = packet_event::request_dropped,
         .flow = flow,
         .why = refusal::overloaded,
-        .priority = priority_of(flow.service),
+        .priority = view_.priority_of(flow.service),
         .queued_for = queued_for});
 }
 
--- a/packages/core/include/radishspread/core/rs_fleet_view.hpp
+++ b/packages/core/include/radishspread/core/rs_fleet_view.hpp
@@ -101,6 +101,8 @@
     [[nodiscard]] route_entry const* route_of(endpoint address) const;
     /// Tag of the service that takes flows to `address`; 0 if none.
     [[nodiscard]] std::uint32_t service_of(endpoint address) const;
+    /// Priority of the route to `address`; 0, the most urgent, without one.
+    [[nodiscard]] std::uint8_t priority_of(endpoint address) const;
     /// True once a read has returned routes.
     [[nodiscard]] bool has_routes() const { return version_ != 0; }
     [[nodiscard]] std::uint64_t route_version() const { return version_; }
--- a/packages/core/include/radishspread/core/rs_packet_agent.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_agent.hpp
@@ -164,8 +164,6 @@
         return view_.find(options_.backend, options_.service);
     }
     [[nodiscard]] std::size_t slots() const;
-    /// Priority of the route to `address`; 0 without one.
-    [[nodiscard]] std::uint8_t priority_of(endpoint address) const;
     [[nodiscard]] internal::opening_cost cost_of(
         instant now, agent_packet const& message) const;
     /// True if the backend server has room for the opening.
--- a/packages/core/include/radishspread/core/rs_packet_balancer.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_balancer.hpp
@@ -234,8 +234,6 @@
         flow_packet const* packet, Sink& sink);
 
     [[nodiscard]] endpoint agent_of(fleet_view::member const& member) const;
-    /// Priority of the route to `address`; 0 without one.
-    [[nodiscard]] std::uint8_t priority_of(endpoint address) const;
     [[nodiscard]] internal::placement_candidates candidates(
         instant now, opening const& pending) const;
     /// True if all agents of the service that the flow's route names have
--- a/packages/core/src/rs_fleet_view.cpp
+++ b/packages/core/src/rs_fleet_view.cpp
@@ -423,6 +423,11 @@
     return route == nullptr ? 0 : route->service;
 }
 
+std::uint8_t fleet_view::priority_of(endpoint address) const {
+    auto const* route = route_of(address);
+    return route == nullptr ? std::uint8_t{0} : route->priority;
+}
+
 bool fleet_view::is_out(std::uint32_t domain) const {
     return std::any_of(domains_out_.begin(), domains_out_.end(),
         [&](auto const& it) { return it.second == domain; });
--- a/packages/core/src/rs_packet_agent.cpp
+++ b/packages/core/src/rs_packet_agent.cpp
@@ -63,7 +63,7 @@
 
 agent_packet packet_agent::make_report(
     agent_packet_kind kind, packet_flow const& flow) const {
-    auto const priority = priority_of(flow.service);
+    auto const priority = view_.priority_of(flow.service);
     return {.kind = kind,
         .service = options_.service,
         .route_version = view_.route_version(),
@@ -77,11 +77,6 @@
         .flow = flow};
 }
 
-std::uint8_t packet_agent::priority_of(endpoint address) const {
-    auto const* route = view_.route_of(address);
-    return route == nullptr ? std::uint8_t{0} : route->priority;
-}
-
 internal::opening_cost packet_agent::cost_of(
     instant now, agent_packet const& message) const {
     auto const address = message.flow.service;
@@ -90,7 +85,7 @@
     return {.first_sent_at = now - std::chrono::milliseconds(message.age_ms),
         .goal = has_goal ? route->goal : options_.default_goal,
         .work = work_.of(address),
-        .priority = priority_of(address)};
+        .priority = view_.priority_of(address)};
 }
 
 bool packet_agent::has_room(agent_packet const& message) const {
@@ -111,7 +106,7 @@
         held.is_new_end(packet.sequence + packet.payload_size);
     return begins_request && slots() != 0 &&
            in_progress_.total() - stuck_ >= queue_limit() &&
-           queue_.must_precede(priority_of(held.route));
+           queue_.must_precede(view_.priority_of(held.route));
 }
 
 bool packet_agent::is_cold(instant now, agent_packet const& message) const {
@@ -197,7 +192,7 @@
     }
     it.outstanding_since = now;
     it.has_failed = false;
-    it.priority = priority_of(it.route);
+    it.priority = view_.priority_of(it.route);
     in_progress_.add(it.priority);
 }
 
--- a/packages/core/src/rs_packet_balancer.cpp
+++ b/packages/core/src/rs_packet_balancer.cpp
@@ -178,11 +178,6 @@
     return list;
 }
 
-std::uint8_t packet_balancer::priority_of(endpoint address) const {
-    auto const* route = view_.route_of(address);
-    return route == nullptr ? std::uint8_t{0} : route->priority;
-}
-
 bool packet_balancer::is_allowed(
     internal::cached_flow& cached, packet_flow const& flow) const {
     if (cached.checked_route_version == view_.route_version())
@@ -224,7 +219,8 @@
 // is still queued.
 void packet_balancer::on_queued(
     instant now, endpoint from, agent_packet const& message) {
-    loads_.load_reported(now, from, message, priority_of(message.flow.service));
+    loads_.load_reported(
+        now, from, message, view_.priority_of(message.flow.service));
     retries_.reply_received();
     auto const it = openings_.find(message.flow);
     if (it == openings_.end() || it->second.agent != from)
@@ -244,7 +240,7 @@
     flows_.erase(cached);
     auto& pending = openings_[message.flow];
     pending.service = service;
-    pending.priority = priority_of(message.flow.service);
+    pending.priority = view_.priority_of(message.flow.service);
     pending.first_sent_at = now;
     pending.packet.assign(message.packet.begin(), message.packet.end());
     pending.agent = from;
