Let an opening replace the queued request of an earlier flow

Cause: the opening of a new flow from the same port was taken for a copy of a queued opening while a request of the earlier flow waited, and never admitted.

Change: only requests on open flows are removed, by a reset and by an opening.

Measured: opening_replaces_the_request_of_an_earlier_flow; core tests 348 of 348.

--- a/packages/core/include/radishspread/core/internal/rs_opening_queue.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_opening_queue.hpp
@@ -71,8 +71,8 @@
     /// True if an opening that is more urgent than `priority` waits and no
     /// other agent of its service has room for it.
     [[nodiscard]] bool must_precede(std::uint8_t priority) const;
-    /// Removes the entry of the flow, if there is one.
-    void remove(packet_flow const& flow);
+    /// Removes the request on the open flow, if one waits.
+    void remove_request(packet_flow const& flow);
     [[nodiscard]] std::size_t size() const { return waiting_.size(); }
     /// Openings that are at least as urgent as `priority`.
     [[nodiscard]] std::size_t count_urgent(std::uint8_t priority) const;
--- a/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
@@ -199,7 +199,7 @@
 void packet_agent::forward_packet(instant now, internal::held_flow& held,
     flow_packet const& packet, Sink& sink) {
     if (packet.is_reset)
-        queue_.remove(packet.from_caller());
+        queue_.remove_request(packet.from_caller());
     record_caller_packet(now, held, packet);
     sink.send_backend(packet.bytes);
 }
--- a/packages/core/include/radishspread/core/internal/rs_packet_opening_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_opening_impl.hpp
@@ -40,6 +40,7 @@
             send_held(from, message.flow, held, sink);
         return sink.send_backend(packet.bytes);
     }
+    queue_.remove_request(message.flow); // Of an earlier flow from this port.
     if (queue_.contains(message.flow))
         return sink.send(
             from, make_report(agent_packet_kind::queued, message.flow));
--- a/packages/core/src/rs_opening_queue.cpp
+++ b/packages/core/src/rs_opening_queue.cpp
@@ -127,9 +127,9 @@
     });
 }
 
-void opening_queue::remove(packet_flow const& flow) {
-    std::erase_if(
-        waiting_, [&](auto const& it) { return it.message.flow == flow; });
+void opening_queue::remove_request(packet_flow const& flow) {
+    std::erase_if(waiting_,
+        [&](auto const& it) { return it.request && it.message.flow == flow; });
 }
 
 bool opening_queue::contains(packet_flow const& flow) const {
--- a/packages/core/tests/rs_packet_agent_queue_test.cpp
+++ b/packages/core/tests/rs_packet_agent_queue_test.cpp
@@ -250,6 +250,26 @@
     CHECK_EQUAL(1, core.queued());
 }
 
+// The opening was taken for a copy of a queued one, and never admitted.
+TEST(packet_agent_overload, opening_replaces_the_request_of_an_earlier_flow) {
+    open_idle_flow(1, 0);
+    fill_slots(100);
+    queue_urgent(2, 101);
+    request(1, 10, 102);
+    auto finish = caller_packet_of(flow_of(1), 101);
+    finish.is_finish = true;
+    deliver(core, at(103), balancer_one,
+        message(agent_packet_kind::forward, flow_of(1)), finish);
+    finish = backend_packet_of(flow_of(1));
+    finish.payload_size = 0;
+    finish.is_finish = true;
+    core.handle_backend(at(104), finish, sink);
+    sink.clear();
+    open(flow_of(1), 105);
+    CHECK(last_refusal() == refusal::overloaded);
+    CHECK_EQUAL(1, core.queued());
+}
+
 // An open flow must not be reset, so its caller sends the request again.
 TEST(packet_agent_overload, queued_request_that_is_late_is_dropped) {
     open_idle_flow(1, 0);
