--- a/packages/core/include/radishspread/core/rs_item_version.hpp
+++ b/packages/core/include/radishspread/core/rs_item_version.hpp
@@ -3,7 +3,6 @@
 
 #include <radishspread/core/rs_ids.hpp>
 
-#include <compare>
 #include <cstdint>
 
 namespace radishspread {
@@ -15,7 +14,13 @@
     std::uint64_t era = 0;
     radishspread::revision revision = 0;
 
-    friend auto operator<=>(item_version const&, item_version const&) = default;
+    friend bool operator==(item_version const&, item_version const&) = default;
+    friend bool operator<(item_version const& a, item_version const& b) {
+        return a.era != b.era ? a.era < b.era : a.revision < b.revision;
+    }
+    friend bool operator>(item_version const& a, item_version const& b) {
+        return b < a;
+    }
 };
 
 } // namespace radishspread
--- a/packages/core/tests/rs_restored_service_test.cpp
+++ b/packages/core/tests/rs_restored_service_test.cpp
@@ -136,6 +136,20 @@
     CHECK(!other.take_call(at(200))->is_watch);
 }
 
+// Several followers had calls outstanding when the service was restored; their
+// replies are no proof that the higher era is wrong.
+TEST(restored_service, late_replies_do_not_give_up_the_era) {
+    read_first_era();
+    std::vector<item_follower> others(
+        3, item_follower(item_follower_options{.prefix = "backend/"}));
+    for (auto& it : others)
+        CHECK(it.take_call(at(90)).has_value());
+    read_restored(100, {announcement_of(1, 5)}, 7);
+    for (auto& it : others)
+        it.handle_page(at(160), page_of({announcement_of(1, 5)}, 10, 1), view);
+    CHECK_EQUAL(2, view.era().value());
+}
+
 // The watch of the other follower may be outstanding for seconds.
 TEST(restored_service, other_followers_drop_their_watches) {
     item_follower other{item_follower_options{.prefix = "backend/"}};
