--- a/packages/core/src/rs_opening_cost.cpp
+++ b/packages/core/src/rs_opening_cost.cpp
@@ -24,8 +24,11 @@
     auto const b_worth = worth_per_second(b, now);
     if (a_worth != b_worth)
         return a_worth > b_worth;
-    return is_timely(a, now) ? a.first_sent_at > b.first_sent_at
-                             : a.first_sent_at < b.first_sent_at;
+    bool const a_is_timely = is_timely(a, now);
+    if (a_is_timely != is_timely(b, now))
+        return a_is_timely;
+    return a_is_timely ? a.first_sent_at > b.first_sent_at
+                       : a.first_sent_at < b.first_sent_at;
 }
 
 } // namespace radishspread::internal
--- a/packages/core/tests/rs_opening_cost_test.cpp
+++ b/packages/core/tests/rs_opening_cost_test.cpp
@@ -53,6 +53,17 @@
     CHECK(!is_served_before(a, a, start));
 }
 
+// Both were served before the other, which breaks a sort.
+TEST(opening_cost, order_is_strict_for_a_timely_and_a_late_one_of_equal_worth) {
+    auto timely = cost_of(2, milliseconds(0));
+    timely.work = std::chrono::microseconds(3340);
+    auto late = cost_of(2, milliseconds(0), milliseconds(500));
+    late.work = std::chrono::microseconds(1002);
+    CHECK(worth_per_second(timely, start) == worth_per_second(late, start));
+    CHECK(is_served_before(timely, late, start));
+    CHECK(!is_served_before(late, timely, start));
+}
+
 TEST_GROUP(work_estimates) {
     work_estimates work;
 
