--- a/packages/core/include/radishspread/core/rs_item_follower.hpp
+++ b/packages/core/include/radishspread/core/rs_item_follower.hpp
@@ -87,8 +87,8 @@
     bool reread(instant now);
 
     /// The process at `peer` has a newer view: reads from it next, unless a
-    /// read from a peer is outstanding. True if the driver should cancel its
-    /// call.
+    /// read from a peer is outstanding, or the service has not replied since
+    /// one failed. True if the driver should cancel its call.
     bool catch_up(instant now, endpoint peer);
 
     /// Takes effect with the next reply.
@@ -153,6 +153,9 @@
     unsigned failures_ = 0;
     endpoint peer_;       ///< Of the last call; unset: the service.
     endpoint newer_peer_; ///< To be read from next.
+    /// A peer has not replied; the call to the service that follows is not
+    /// dropped for another one.
+    bool service_is_next_ = false;
     std::string after_name_;
     std::uint64_t era_ = 0; ///< Of the last page used.
     duration era_read_spread_{0};
--- a/packages/core/src/rs_item_follower.cpp
+++ b/packages/core/src/rs_item_follower.cpp
@@ -22,7 +22,7 @@
     call_started_at_ = now;
     // While the service does not reply, every other call goes to a peer, which
     // may have received newer items in the meantime.
-    peer_ = std::exchange(newer_peer_, {});
+    peer_ = service_is_next_ ? endpoint{} : std::exchange(newer_peer_, {});
     if (!peer_.is_set() && failures_ % 2 == 1 && !options_.peers.empty())
         peer_ = options_.peers[random_.below(options_.peers.size())];
     if (peer_.is_set())
@@ -47,6 +47,7 @@
 bool item_follower::handle_page(
     instant now, item_page const& page, fleet_view& view) {
     is_outstanding_ = false;
+    service_is_next_ = false;
     if (peer_.is_set())
         return handle_peer(now, page, view);
     last_reply_at_ = now;
@@ -189,6 +190,7 @@
 
 void item_follower::handle_history_lost(instant now) {
     is_outstanding_ = false;
+    service_is_next_ = false;
     last_reply_at_ = now;
     is_watching_ = false;
     begin_read(now);
@@ -198,6 +200,7 @@
 void item_follower::handle_failure(
     instant now, bool is_outage, fleet_view& view) {
     is_outstanding_ = false;
+    service_is_next_ = peer_.is_set();
     if (is_outage && !peer_.is_set())
         view.set_reachable(now, false);
     due_ = now;
@@ -211,10 +214,14 @@
                failures_, options_.backoff_minimum, options_.backoff_maximum);
 }
 
+// If each look dropped the call to the service, one that replies slowly would
+// never be heard while peers are silent.
 bool item_follower::catch_up(instant now, endpoint peer) {
     if (is_outstanding_ && peer_.is_set())
         return false;
     newer_peer_ = peer;
+    if (service_is_next_)
+        return false;
     is_outstanding_ = false;
     if (!is_watching_)
         begin_read(now);
--- a/packages/core/tests/rs_item_follower_test.cpp
+++ b/packages/core/tests/rs_item_follower_test.cpp
@@ -104,6 +104,35 @@
     CHECK(!core.take_call(at(4000))->peer.is_set());
 }
 
+// Each message that named newer routes dropped the call to the service, which
+// took 1.4 s to reply, for one to a peer that did not reply at all.
+TEST(item_follower, looks_leave_time_for_a_slow_service) {
+    constexpr int reply_ms = 1400;
+    constexpr int look_interval_ms = 2000;
+    int service_replies = 0;
+    int started_at = 0;
+    bool is_peer_call = false;
+    for (int ms = 0; ms < 60'000; ms += 10) {
+        bool const is_over =
+            core.is_outstanding() &&
+            ms - started_at >= (is_peer_call ? 1500 : reply_ms);
+        if (is_over && is_peer_call)
+            core.handle_failure(at(ms), true, view);
+        else if (is_over) {
+            core.handle_page(at(ms), page({announcement_of(1, 5)}, 10), view);
+            ++service_replies;
+        }
+        if (ms % look_interval_ms == 0)
+            core.catch_up(at(ms), peer_one);
+        if (auto const call = core.take_call(at(ms))) {
+            started_at = ms;
+            is_peer_call = call->peer.is_set();
+        }
+    }
+    CHECK(service_replies >= 10);
+    CHECK_EQUAL(1, members());
+}
+
 // A balancer that could not reach the service waited for the call's timeout
 // before it called another process.
 TEST(item_follower, newer_peer_is_read_before_the_service) {
