--- a/packages/runtime/include/radishspread/runtime/rs_item_source.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_item_source.hpp
@@ -165,9 +165,9 @@
     }
 
     /// Logs what the last page has changed besides its items.
-    void log_view_changes(std::uint64_t era, std::uint64_t ignored_items,
+    void log_view_changes(instant era_changed_at, std::uint64_t ignored_items,
         std::uint64_t deferred_changes) const {
-        if (view_.era().value() != era)
+        if (view_.era().changed_at() != era_changed_at)
             log_({.number = packet_event::source_restored,
                 .value = static_cast<std::int64_t>(view_.era().value())});
         if (view_.ignored_items() != ignored_items)
@@ -189,11 +189,11 @@
         log_ignored_items(page);
         auto const previous_read_at = follower_.read_started();
         auto const given_up_reads = follower_.given_up_reads();
-        auto const era = view_.era().value();
+        auto const era_changed_at = view_.era().changed_at();
         auto const ignored_items = view_.ignored_items();
         auto const deferred_changes = view_.deferred_changes();
         follower_.handle_page(now, page, view_);
-        log_view_changes(era, ignored_items, deferred_changes);
+        log_view_changes(era_changed_at, ignored_items, deferred_changes);
         if (follower_.given_up_reads() != given_up_reads)
             log_({.number = packet_event::read_given_up,
                 .value = static_cast<std::int64_t>(page.changes.size())});
--- a/packages/runtime/tests/rs_item_source_test.cpp
+++ b/packages/runtime/tests/rs_item_source_test.cpp
@@ -6,6 +6,7 @@
 #include <libsoup/soup.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <utility>
@@ -57,6 +58,7 @@
     std::string read_reply = "{}";
     std::string watch_reply;
     bool is_hasty = false; ///< Responds to all watches, at once.
+    unsigned era = 3;      ///< In all responses.
 
     silent_watch_service() : server_(soup_server_new(nullptr, nullptr)) {
         soup_server_add_handler(server_, "/read", serve_read, this, nullptr);
@@ -90,10 +92,14 @@
 private:
     static void serve_read(SoupServer*, SoupServerMessage* message, char const*,
         GHashTable*, gpointer self) {
-        ++static_cast<silent_watch_service*>(self)->reads_;
-        respond(message, static_cast<silent_watch_service*>(self)->read_reply);
+        auto& service = *static_cast<silent_watch_service*>(self);
+        ++service.reads_;
+        service.respond(message, service.read_reply);
     }
-    static void respond(SoupServerMessage* message, std::string const& body) {
+    void respond(SoupServerMessage* message, std::string const& body) const {
+        soup_message_headers_replace(
+            soup_server_message_get_response_headers(message), "Era",
+            std::to_string(era).c_str());
         soup_server_message_set_status(message, SOUP_STATUS_OK, nullptr);
         soup_server_message_set_response(message, "application/json",
             SOUP_MEMORY_COPY, body.data(), body.size());
@@ -103,10 +109,10 @@
         auto& service = *static_cast<silent_watch_service*>(self);
         if (service.is_hasty) {
             ++service.hasty_watches_;
-            return respond(message, "{}");
+            return service.respond(message, "{}");
         }
         if (!service.watch_reply.empty())
-            return respond(
+            return service.respond(
                 message, std::exchange(service.watch_reply, std::string()));
         soup_server_message_pause(message);
         service.watches_.push_back(
@@ -125,14 +131,18 @@
     silent_watch_service service;
     fleet_view view;
     static constexpr std::size_t max_reply_size = 4U << 20U;
-    configuration_client client{
-        {.service = service.address(), .max_reply_size = max_reply_size}};
-    std::vector<std::string> ignored; ///< Names in the events.
+    configuration_client client{{.service = service.address(),
+        .max_reply_size = max_reply_size,
+        .era_header = unreadable_item_platform::era_header()}};
+    std::vector<std::string> ignored;   ///< Names in the events.
+    std::vector<std::int64_t> restored; ///< Eras in the events.
     item_source<unreadable_item_platform> source{{.prefix = "backend/"},
         "/peer", view, client, service.address(), [](item_page const&, bool) {},
         [this](packet_log const& it) {
             if (it.number == packet_event::item_ignored)
                 ignored.emplace_back(it.text);
+            if (it.number == packet_event::source_restored)
+                restored.push_back(it.value);
         }};
 
     void setup() override {
@@ -181,6 +191,18 @@
     CHECK_EQUAL(std::string("backend/note"), ignored[0]);
 }
 
+// The first reply of a process names an era too, which is no change.
+TEST(item_source, only_a_change_of_the_era_is_logged) {
+    CHECK(run_until_watches(1));
+    CHECK(restored.empty());
+    CHECK_EQUAL(3, source.follower().era());
+    service.era = 4;
+    source.reread(monotonic_now());
+    CHECK(run_until_watches(2));
+    CHECK_EQUAL(1, restored.size());
+    CHECK_EQUAL(4, restored[0]);
+}
+
 // One item of the largest size makes the reply longer than the limit was. A
 // process that started then never got ready.
 TEST(item_source, reply_with_the_largest_item_is_read) {
