Take no start in the future as one that followed the agent's

Change: a start that the first read names and that lies in the future does not tell the order; the agent probes unknown flows.

--- a/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_agent_impl.hpp
@@ -283,7 +283,7 @@
 template <packet_sink Sink>
 void packet_agent::view_changed(instant now, Sink& sink) {
     auto const* self = find_announced();
-    apply_announcement(self);
+    apply_announcement(now, self);
     int state = 0;
     if (self != nullptr)
         state = (self->is_draining || self->is_removed ? 1 : 0) +
--- a/packages/core/include/radishspread/core/rs_packet_agent.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_agent.hpp
@@ -192,7 +192,11 @@
     /// Frees the slots of openings whose callers have sent no data within
     /// `unused_limit`.
     void expire_unused(instant now);
-    void apply_announcement(fleet_view::member const* self);
+    void apply_announcement(instant now, fleet_view::member const* self);
+    /// True if the time of day, counted on from the start of this process, has
+    /// not reached `start_unix_ms`.
+    [[nodiscard]] bool is_in_future(
+        instant now, std::uint64_t start_unix_ms) const;
     /// Removes flows that have ended or are idle.
     void sweep(instant now);
     void record_balancer(instant now, endpoint from);
@@ -214,6 +218,8 @@
     int reported_state_ = -1;
     bool has_read_ = false;
     std::uint64_t first_announced_start_ = 0; ///< From the first read.
+    /// The first read named a start that had not come yet.
+    bool is_first_start_wrong_ = false;
     bool is_table_complete_ = false;
     internal::opening_queue queue_;
     internal::work_estimates work_;
--- a/packages/core/src/rs_packet_agent.cpp
+++ b/packages/core/src/rs_packet_agent.cpp
@@ -21,6 +21,10 @@
 /// A restarted process was down for longer than this.
 constexpr std::uint64_t restart_gap_ms = 300;
 
+/// Most by which the time of day that a backend server and its agent read at
+/// the same moment differs while the host's clock is right.
+constexpr std::uint64_t clock_tolerance_ms = 100;
+
 bool counts_as_open(held_state state) {
     return state <= held_state::open;
 }
@@ -240,15 +244,30 @@
     }
 }
 
+bool packet_agent::is_in_future(
+    instant now, std::uint64_t start_unix_ms) const {
+    auto const age = (now - started_at_) / std::chrono::milliseconds(1);
+    auto const now_unix_ms =
+        options_.start_unix_ms + static_cast<std::uint64_t>(age);
+    return start_unix_ms > now_unix_ms + clock_tolerance_ms;
+}
+
 // If the backend server started after this agent or together with it, the flow
 // table has all its flows, so unknown flows need no probe. A backend server
 // that was announced before the first read may have taken flows through the
 // agent's previous process, unless it started after that process ended.
-void packet_agent::apply_announcement(fleet_view::member const* self) {
-    if (!std::exchange(has_read_, true) && self != nullptr)
+void packet_agent::apply_announcement(
+    instant now, fleet_view::member const* self) {
+    if (!std::exchange(has_read_, true) && self != nullptr) {
         first_announced_start_ = self->start_unix_ms;
+        is_first_start_wrong_ = is_in_future(now, self->start_unix_ms);
+    }
     if (self == nullptr)
         return;
+    // A start that has not come yet was read from a clock that has jumped back
+    // since, so it does not tell which process started first.
+    if (is_first_start_wrong_ && self->start_unix_ms == first_announced_start_)
+        return;
     auto const tolerance = self->start_unix_ms == first_announced_start_
                                ? restart_gap_ms
                                : start_tolerance_ms;
--- a/packages/core/tests/rs_packet_agent_search_test.cpp
+++ b/packages/core/tests/rs_packet_agent_search_test.cpp
@@ -249,6 +249,35 @@
     }
 }
 
+// A backend server that started while the time of day was ahead seemed to have
+// started after its agent's second process, which then rejected its open flows.
+TEST(packet_agent_search,
+    flow_table_is_incomplete_if_the_first_read_names_a_start_in_the_future) {
+    for (std::uint64_t const start_unix_ms : {9050, 9600}) {
+        packet_agent restarted{packet_agent_options{.service = test_service,
+            .domain = test_domain,
+            .backend = backend_address(1),
+            .start_unix_ms = 9000}};
+        restarted.start(at(0), sink);
+        auto change = announcement_of(1, 2);
+        auto& announced = std::get<backend_announcement>(change.content);
+        announced.start_unix_ms = start_unix_ms;
+        restarted.view().apply(at(50), change);
+        restarted.view_changed(at(50), sink);
+        CHECK_EQUAL(start_unix_ms == 9600,
+            query_flow(restarted, flow_of(1), 60).is_uncertain);
+        // The same start, later: the time that passes does not confirm it.
+        restarted.view_changed(at(2000), sink);
+        CHECK_EQUAL(start_unix_ms == 9600,
+            query_flow(restarted, flow_of(1), 2001).is_uncertain);
+        change.revision = 3;
+        announced.start_unix_ms = 11000;
+        restarted.view().apply(at(2002), change);
+        restarted.view_changed(at(2002), sink);
+        CHECK(!query_flow(restarted, flow_of(1), 2003).is_uncertain);
+    }
+}
+
 // After a power loss, the agent of a draining backend server restarts, but the
 // backend server does not. The agent stayed uncertain forever, so no lost flow
 // was reset.
