Call again after a share of the outage until the first read has ended

Change: until its first complete read a balancer limits the delay of the next call to an eighth of the time for which calls have failed, up to the limit of before, and collects changes for 0.2 s in the 2.5 s after an outage.

--- a/packages/core/include/radishspread/core/rs_fleet_view.hpp
+++ b/packages/core/include/radishspread/core/rs_fleet_view.hpp
@@ -89,6 +89,12 @@
     /// their announcements may have expired because they could not renew them.
     void set_reachable(instant now, bool is_reachable);
 
+    /// True while announcements that expired in an outage are written again.
+    [[nodiscard]] bool is_recovering(instant now) const {
+        return reachable_since_ != instant{} &&
+               now < reachable_since_ + expiry_grace_period;
+    }
+
     /// Items in effect whose names begin with `prefix`, for a peer.
     [[nodiscard]] std::vector<fleet_change> items(
         instant now, std::string_view prefix) const;
--- a/packages/core/include/radishspread/core/rs_item_follower.hpp
+++ b/packages/core/include/radishspread/core/rs_item_follower.hpp
@@ -43,6 +43,9 @@
     duration collect_interval = std::chrono::milliseconds(100);
     duration backoff_minimum = std::chrono::milliseconds(100);
     duration backoff_maximum = std::chrono::milliseconds(800);
+    /// Until a first complete read has ended, limits the backoff to the time
+    /// for which calls have failed, divided by this; 0: no such limit.
+    int first_read_backoff_divisor = 0;
     std::vector<endpoint> peers; ///< Processes with the same items.
     std::uint64_t seed = 1;
 };
@@ -130,6 +133,10 @@
     /// True if the reply cannot be used because of its era.
     bool is_of_other_era(instant now, item_page const& page, fleet_view& view);
     void read_in_new_era(instant now);
+    /// True if no complete read has ended and calls have not failed for long.
+    [[nodiscard]] bool is_first_read_urgent(instant now) const;
+    /// Delay of the next call after a failed one.
+    [[nodiscard]] duration retry_delay(instant now, bool is_outage);
     /// Drops a read whose pages do not go on or have no end; returns false.
     bool give_up_read(instant now);
     void begin_read(instant now);
@@ -151,8 +158,9 @@
     instant last_reply_at_;
     instant last_restart_at_;
     unsigned failures_ = 0;
-    endpoint peer_;       ///< Of the last call; unset: the service.
-    endpoint newer_peer_; ///< To be read from next.
+    instant failing_since_; ///< First of the `failures_`.
+    endpoint peer_;         ///< Of the last call; unset: the service.
+    endpoint newer_peer_;   ///< To be read from next.
     /// A peer has not replied; the call to the service that follows is not
     /// dropped for another one.
     bool service_is_next_ = false;
--- a/packages/core/src/rs_item_follower.cpp
+++ b/packages/core/src/rs_item_follower.cpp
@@ -206,12 +206,34 @@
     due_ = now;
     if (peer_.is_set() && failures_ == 0)
         return; // The service has not failed; it is called next.
-    ++failures_;
+    if (failures_++ == 0)
+        failing_since_ = now;
     if (!is_watching_ && !peer_.is_set())
         begin_read(now);
-    due_ = now + options_.backoff_minimum / 4 +
-           random_.backoff(
-               failures_, options_.backoff_minimum, options_.backoff_maximum);
+    if (peer_.is_set() && is_first_read_urgent(now))
+        due_ = now; // The service is called next.
+    else
+        due_ = now + retry_delay(now, is_outage);
+}
+
+bool item_follower::is_first_read_urgent(instant now) const {
+    return !is_complete_ &&
+           now - failing_since_ <
+               options_.backoff_maximum * options_.first_read_backoff_divisor;
+}
+
+// After a power loss during an outage no process has a view, and one that knows
+// no backend servers serves nobody. The longer an outage has lasted, the longer
+// it is likely to last, so a share of it bounds both the calls and the time
+// until a return is noticed. Calls that the service rejects for their rate must
+// become fewer instead.
+duration item_follower::retry_delay(instant now, bool is_outage) {
+    auto maximum = options_.backoff_maximum;
+    if (is_first_read_urgent(now) && is_outage)
+        maximum = std::max<duration>(options_.backoff_minimum,
+            (now - failing_since_) / options_.first_read_backoff_divisor);
+    return options_.backoff_minimum / 4 +
+           random_.backoff(failures_, options_.backoff_minimum, maximum);
 }
 
 // If each look dropped the call to the service, one that replies slowly would
--- a/packages/core/tests/rs_item_follower_test.cpp
+++ b/packages/core/tests/rs_item_follower_test.cpp
@@ -104,6 +104,68 @@
     CHECK(!core.take_call(at(4000))->peer.is_set());
 }
 
+// After a power loss during an outage, processes without a view noticed the
+// return of the service up to 1.6 s late and served nobody until then.
+TEST(item_follower, process_without_a_view_notices_a_return_within_a_share) {
+    constexpr int reply_ms = 5;
+    for (std::uint64_t seed = 1; seed != 50; ++seed)
+        for (int const outage_ms : {500, 1000, 2000, 4000}) {
+            item_follower starting{item_follower_options{.prefix = "backend/",
+                .first_read_backoff_divisor = 8,
+                .peers = {peer_one},
+                .seed = seed}};
+            int ms = 0;
+            for (; !starting.is_complete(); ++ms) {
+                auto const call = starting.take_call(at(ms));
+                if (!call)
+                    continue;
+                ms += reply_ms;
+                if (ms < outage_ms || call->peer.is_set())
+                    starting.handle_failure(at(ms), true, view);
+                else
+                    starting.handle_page(
+                        at(ms), page({announcement_of(1, 5)}, 10), view);
+            }
+            auto const share = std::max(100, outage_ms / 8);
+            auto const slack = 100 / 4 + 4 * reply_ms;
+            CHECK(ms - outage_ms <= share + share / 8 + slack);
+        }
+}
+
+// The calls of processes that start in a long outage must become as rare as
+// those of processes with a view; rejected calls become rare at once.
+TEST(item_follower, lasting_outage_leads_to_few_calls) {
+    struct load {
+        bool has_view;
+        bool is_outage;
+        int max_early_calls; ///< In the first 10 s.
+    };
+    // Three followers share a budget of at least 40 calls a second.
+    constexpr load loads[] = {
+        {false, true, 10 * 40 / 3}, {false, false, 30}, {true, true, 30}};
+    for (auto const& it : loads) {
+        core = item_follower{item_follower_options{.prefix = "backend/",
+            .first_read_backoff_divisor = 8,
+            .peers = {peer_one}}};
+        if (it.has_view)
+            complete(0);
+        int early_calls = 0;
+        int late_calls = 0;
+        for (int ms = 1; ms != 60'000; ++ms) {
+            auto const call = core.take_call(at(ms));
+            if (!call)
+                continue;
+            if (!call->peer.is_set())
+                ++(ms < 10'000 ? early_calls : late_calls);
+            core.handle_failure(at(ms), it.is_outage, view);
+        }
+        // Every other call goes to a peer.
+        constexpr int mean_interval_ms = 2 * (100 / 4 + 800 / 2);
+        CHECK(early_calls <= it.max_early_calls);
+        CHECK(late_calls <= 50'000 / mean_interval_ms * 5 / 4);
+    }
+}
+
 // Each message that named newer routes dropped the call to the service, which
 // took 1.4 s to reply, for one to a peer that did not reply at all.
 TEST(item_follower, looks_leave_time_for_a_slow_service) {
--- a/packages/runtime/include/radishspread/runtime/rs_packet_balancer_process.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_packet_balancer_process.hpp
@@ -23,7 +23,9 @@
 public:
     explicit packet_balancer_process(packet_shell& shell)
         : base(
-              shell, make_options(shell.settings()), {.seed = random_number()},
+              shell, make_options(shell.settings()),
+              {.first_read_backoff_divisor = first_read_backoff_divisor,
+                  .seed = random_number()},
               member_collect_interval,
               [this](item_page const& page, bool is_complete_read) {
                   handle_page(page, is_complete_read);
@@ -63,7 +65,18 @@
     /// agent of one that leaves declines openings too.
     static constexpr int drain_bound_divisor = 4;
 
+    /// A balancer without a view serves nobody. An agent without one still
+    /// takes what balancers send, so it needs no such calls.
+    static constexpr int first_read_backoff_divisor = 8;
+
+    /// While announcements come back after an outage, openings have to share
+    /// the few backend servers that are known.
+    static constexpr duration recovery_collect_interval =
+        std::chrono::milliseconds(200);
+
     [[nodiscard]] duration collect_interval() const {
+        if (core_.view().is_recovering(shell_.now()))
+            return recovery_collect_interval;
         return core_.view().has_warmup_limit()
                    ? member_collect_interval
                    : shell_.settings().drain_bound / drain_bound_divisor;
