Give each client account a fair share of an agent's queue

Cause: the newest timely opening is served first, so an account that sent most of the openings got most of the slots; nothing told accounts apart. Change: an opening beyond the equal share of its account, and beyond four, is worth a quarter: it goes after those of others with its priority and is the first to leave a full queue. Shares are counted from the queue. Event 1633 and radishspread_openings_over_share_total show it. Result: replay of one account at three times the capacity and twenty others at half of it: at least 95 of 100 openings of the others in time, fewer than 50 without shares.

--- a/packages/core/include/radishspread/core/internal/rs_opening_cost.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_opening_cost.hpp
@@ -13,12 +13,18 @@
     duration goal{0};          ///< Response-time goal of the route.
     duration work{0};          ///< Time for which it occupies a slot.
     std::uint8_t priority = 0; ///< 0 is the most urgent.
+    /// Its client account has more openings waiting than its share.
+    bool is_over_share = false;
 };
 
 /// Share of its worth that a response has after its goal: callers still use it,
 /// but have waited.
 inline constexpr double late_worth = 0.3;
 
+/// Share of its worth that an opening counts beyond the share of its client
+/// account: less than that of another account's late one.
+inline constexpr double over_share_worth = 0.25;
+
 /// True if the response can meet its goal if the opening is served now.
 [[nodiscard]] bool is_timely(opening_cost const& it, instant now);
 
--- a/packages/core/include/radishspread/core/internal/rs_opening_queue.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_opening_queue.hpp
@@ -30,6 +30,8 @@
 /// Result of `opening_queue::push`.
 struct push_result {
     bool is_queued = false;
+    /// Its client account had more than its share of the places.
+    bool is_over_share = false;
     /// Opening that had to give up its place in a full queue.
     std::optional<queued_opening> displaced;
 };
@@ -43,6 +45,10 @@
 /// most for the time that it takes is served first, see `is_served_before`. An
 /// opening that could not be served before its caller gives up is not queued,
 /// and is returned as soon as more valuable ones take its turn.
+///
+/// A client account whose openings take more than an equal share of the places
+/// is served after others of the same priority, so that it cannot make all
+/// callers wait.
 class opening_queue {
 public:
     /// Callers abandon an opening `opening_age_limit` after its first copy.
@@ -81,6 +87,9 @@
     /// Openings of more urgent priorities that are served in a row while one of
     /// the least urgent priority waits. Bounds how long it is starved.
     static constexpr unsigned max_overtakes = 16;
+    /// Openings of one client account that may wait at least, whatever its
+    /// share: a host sends some at once without being greedy.
+    static constexpr std::size_t min_share = 4;
 
 private:
     using position = std::vector<queued_opening>::const_iterator;
@@ -88,6 +97,8 @@
     /// Position of the opening to be served next, in a queue that has some.
     [[nodiscard]] position select(instant now) const;
     [[nodiscard]] std::uint8_t least_urgent() const;
+    /// True if another opening of the account would exceed its share.
+    [[nodiscard]] bool has_full_share(std::uint32_t account) const;
     /// Time until a slot is free for the opening.
     [[nodiscard]] duration wait_of(
         instant now, opening_cost const& cost, std::size_t slots) const;
--- a/packages/core/include/radishspread/core/internal/rs_packet_opening_impl.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_packet_opening_impl.hpp
@@ -96,7 +96,8 @@
         decline_queued(now, *result.displaced, sink);
     if (!result.is_queued)
         return decline(now, from, message, refusal::overloaded, sink);
-    sink.log({.number = packet_event::opening_queued,
+    sink.log({.number = result.is_over_share ? packet_event::caller_over_share
+                                             : packet_event::opening_queued,
         .flow = message.flow,
         .peer = from,
         .version = message.route_version,
--- a/packages/core/include/radishspread/core/rs_packet_events.hpp
+++ b/packages/core/include/radishspread/core/rs_packet_events.hpp
@@ -41,6 +41,7 @@
 inline constexpr std::uint16_t request_queued = 1630;
 inline constexpr std::uint16_t request_dropped = 1631;
 inline constexpr std::uint16_t backend_failing = 1632;
+inline constexpr std::uint16_t caller_over_share = 1633;
 inline constexpr std::uint16_t agent_failing = 1617;
 inline constexpr std::uint16_t routes_applied = 1640;
 inline constexpr std::uint16_t member_changed = 1641;
@@ -67,7 +68,7 @@
 inline constexpr std::uint16_t read_given_up = 1660;
 inline constexpr std::uint16_t setting_clamped = 1683;
 inline constexpr std::uint16_t address_opened = 1684;
-inline constexpr std::size_t count = 56;
+inline constexpr std::size_t count = 57;
 
 } // namespace packet_event
 
@@ -141,6 +142,9 @@
         {packet_event::backend_failing, severity::warning,
             "backend server fails many requests; value: 1 failing, 0 "
             "recovered"},
+        {packet_event::caller_over_share, severity::info,
+            "opening queued behind those of other callers: its caller has more "
+            "than an equal share of the places; value: queued openings"},
         {packet_event::agent_failing, severity::info,
             "agent reports that its backend server fails many requests"},
         {packet_event::routes_applied, severity::info,
--- a/packages/core/src/rs_opening_cost.cpp
+++ b/packages/core/src/rs_opening_cost.cpp
@@ -12,8 +12,9 @@
 double worth_per_second(opening_cost const& it, instant now) {
     // Estimates below this differ by chance.
     constexpr duration min_work = std::chrono::milliseconds(1);
-    auto const worth =
-        std::ldexp(is_timely(it, now) ? 1.0 : late_worth, -it.priority);
+    auto const share = it.is_over_share ? over_share_worth : 1.0;
+    auto const worth = std::ldexp(
+        is_timely(it, now) ? share : late_worth * share, -it.priority);
     std::chrono::duration<double> const work = std::max(it.work, min_work);
     return worth / work.count();
 }
--- a/packages/core/src/rs_opening_queue.cpp
+++ b/packages/core/src/rs_opening_queue.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+std::uint32_t account_of(queued_opening const& it) {
+    return it.message.flow.caller.address;
+}
+
 duration share_of_slots(duration work, std::size_t slots) {
     return work / static_cast<duration::rep>(std::max<std::size_t>(slots, 1));
 }
@@ -24,11 +28,30 @@
     return share_of_slots(work, slots);
 }
 
+// Accounts are counted anew each time, so nothing has to be kept about callers
+// and the queue's own limit bounds the work.
+bool opening_queue::has_full_share(std::uint32_t account) const {
+    std::vector<std::uint32_t> accounts;
+    accounts.reserve(waiting_.size() + 1);
+    for (auto const& it : waiting_)
+        accounts.push_back(account_of(it));
+    auto const own = static_cast<std::size_t>(
+        std::count(accounts.begin(), accounts.end(), account));
+    if (own < min_share)
+        return false;
+    std::sort(accounts.begin(), accounts.end());
+    auto const end = std::unique(accounts.begin(), accounts.end());
+    auto const count = static_cast<std::size_t>(end - accounts.begin());
+    return own * count > waiting_.size();
+}
+
 push_result opening_queue::push(
     instant now, queued_opening opening, std::size_t slots) {
+    opening.cost.is_over_share = has_full_share(account_of(opening));
     if (is_too_late(now, opening.cost, wait_of(now, opening.cost, slots)))
         return {};
-    push_result out{.is_queued = true};
+    push_result out{
+        .is_queued = true, .is_over_share = opening.cost.is_over_share};
     if (waiting_.size() >= max_size) {
         auto const last = std::max_element(waiting_.begin(), waiting_.end(),
             [&](auto const& a, auto const& b) {
--- a/packages/core/tests/rs_opening_queue_test.cpp
+++ b/packages/core/tests/rs_opening_queue_test.cpp
@@ -150,6 +150,56 @@
     return out;
 }
 
+/// Opening of one of several client accounts.
+queued_opening opening_of_account(
+    std::uint32_t account, milliseconds first_sent_at) {
+    auto out = opening_of(1, first_sent_at);
+    out.message.flow.caller.address = account;
+    return out;
+}
+
+/// Openings served in time of all that the client accounts within their share
+/// sent.
+struct share_result {
+    int sent = 0;
+    int in_goal = 0;
+};
+
+/// Replays 8 s in which one client account opens flows at three times the
+/// capacity of a backend server, while 20 others send half of what it can take.
+/// If the greedy one `uses_many_addresses`, it looks like many accounts.
+share_result replay_greedy_account(bool uses_many_addresses) {
+    constexpr std::size_t slots = 2;
+    constexpr milliseconds slot_interval = service / slots;
+    constexpr milliseconds greedy_interval = slot_interval / 3;
+    constexpr milliseconds other_interval = slot_interval * 2;
+    constexpr std::uint32_t accounts = 20;
+    constexpr std::uint32_t greedy = 1000;
+    opening_queue queue(opening_age_limit);
+    share_result out;
+    std::uint32_t sent = 0;
+    for (milliseconds now{0}; now != milliseconds(8000); ++now) {
+        if (now % greedy_interval == milliseconds(0)) {
+            ++sent;
+            auto const account = uses_many_addresses ? greedy + sent : greedy;
+            queue.push(at(now), opening_of_account(account, now), slots);
+        }
+        // Between two free slots, so that newer ones of the flood follow.
+        if (now % other_interval == slot_interval / 2) {
+            auto const n = static_cast<std::uint32_t>(out.sent++);
+            queue.push(
+                at(now), opening_of_account(1 + n % accounts, now), slots);
+        }
+        if (now % slot_interval != milliseconds(0))
+            continue;
+        auto const it = queue.pop(at(now));
+        bool const counts = it && it->message.flow.caller.address < greedy &&
+                            is_timely(it->cost, at(now));
+        out.in_goal += counts ? 1 : 0;
+    }
+    return out;
+}
+
 } // namespace
 
 TEST_GROUP(opening_queue) {
@@ -301,3 +351,67 @@
     CHECK(queued.in_goal > fifo.in_goal * 5 / 4);
     CHECK(queued.late > 0);
 }
+
+// Load: one client account sends three times the capacity. Without a share for
+// each account, callers that sent a small part of it were served no better than
+// the flood.
+TEST(opening_queue, greedy_account_takes_no_places_of_others) {
+    auto const shared = replay_greedy_account(false);
+    auto const unshared = replay_greedy_account(true);
+    CHECK(shared.in_goal >= shared.sent * 95 / 100);
+    CHECK(unshared.in_goal < unshared.sent / 2);
+}
+
+TEST(opening_queue, account_without_others_uses_all_places) {
+    for (std::uint16_t n = 1; n != 50; ++n) {
+        auto const out = queue.push(
+            at(milliseconds(0)), opening_of_account(1, milliseconds(0)), 50);
+        CHECK(out.is_queued);
+        CHECK(!out.is_over_share);
+    }
+}
+
+// A host that sends a few requests at once is not greedy, even if all others
+// have one opening each.
+TEST(opening_queue, some_openings_of_an_account_are_within_its_share) {
+    for (std::uint32_t n = 2; n != 20; ++n)
+        queue.push(
+            at(milliseconds(0)), opening_of_account(n, milliseconds(0)), 50);
+    for (std::size_t n = 0; n != opening_queue::min_share; ++n)
+        CHECK(!queue
+                   .push(at(milliseconds(0)),
+                       opening_of_account(1, milliseconds(0)), 50)
+                   .is_over_share);
+    CHECK(queue
+              .push(at(milliseconds(0)), opening_of_account(1, milliseconds(0)),
+                  50)
+              .is_over_share);
+}
+
+TEST(opening_queue, opening_over_share_is_served_after_late_ones_of_others) {
+    for (std::uint32_t n = 2; n != 20; ++n)
+        queue.push(
+            at(milliseconds(0)), opening_of_account(n, milliseconds(-400)), 50);
+    for (std::size_t n = 0; n != opening_queue::min_share + 1; ++n)
+        queue.push(
+            at(milliseconds(0)), opening_of_account(1, milliseconds(0)), 50);
+    auto const served_address = [&] {
+        return queue.pop(at(milliseconds(0)))->message.flow.caller.address;
+    };
+    for (std::size_t n = 0; n != opening_queue::min_share; ++n)
+        CHECK_EQUAL(1, served_address());
+    for (std::uint32_t n = 2; n != 20; ++n)
+        CHECK(served_address() != 1);
+    CHECK_EQUAL(1, served_address());
+}
+
+// Late openings of a flood, the oldest first, kept those of other callers back.
+TEST(opening_queue, late_opening_over_share_is_served_last) {
+    push(opening_of_account(2, milliseconds(-300)));
+    for (std::size_t n = 0; n != opening_queue::min_share + 1; ++n)
+        push(opening_of_account(1, milliseconds(-600)));
+    std::uint32_t last = 0;
+    while (auto const it = queue.pop(at(milliseconds(0))))
+        last = it->message.flow.caller.address;
+    CHECK_EQUAL(1, last);
+}
--- a/packages/runtime/include/radishspread/runtime/rs_opening_metrics.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_opening_metrics.hpp
@@ -10,8 +10,9 @@
 namespace radishspread::runtime {
 
 /// Metrics of the decisions about openings, from their log events: the time
-/// that admitted openings waited, by route, and the openings that were not
-/// admitted, by event, reason and priority.
+/// that admitted openings waited, by route, the openings of callers that have
+/// more than their share of a queue, and the openings that were not admitted,
+/// by event, reason and priority.
 class opening_metrics {
 public:
     explicit opening_metrics(metrics& registry) : metrics_(registry) {}
--- a/packages/runtime/src/rs_opening_metrics.cpp
+++ b/packages/runtime/src/rs_opening_metrics.cpp
@@ -57,6 +57,11 @@
         event.queued_for >= duration{0})
         wait_of(event.flow.service)
             .add(std::chrono::duration<double>(event.queued_for).count());
+    if (event.number == packet_event::caller_over_share)
+        metrics_
+            .add_counter("radishspread_openings_over_share_total",
+                "Openings queued behind those of other callers.")
+            .add();
     auto const result = result_of(event.number);
     if (result.empty())
         return;
--- a/packages/runtime/tests/rs_opening_metrics_test.cpp
+++ b/packages/runtime/tests/rs_opening_metrics_test.cpp
@@ -45,6 +45,11 @@
         "{result=\"refused\",reason=\"overloaded\",priority=\"2\"} 1"));
 }
 
+TEST(opening_metrics, opening_of_a_caller_over_its_share_is_counted) {
+    core.record({.number = packet_event::caller_over_share, .priority = 2});
+    CHECK(has_line("radishspread_openings_over_share_total 1"));
+}
+
 // Routes come and go with the configuration, for as long as the process runs.
 TEST(opening_metrics, routes_beyond_the_limit_share_a_label) {
     for (std::uint16_t n = 0; n != opening_metrics::max_routes + 10; ++n)
