List what a document changes and what in it can never match

Cause: check reported faults only, so operators published entries without effect, values that exclude each other and changes that break flows unseen. The exit status is as before.

--- a/packages/config/src/rs_command_line.cpp
+++ b/packages/config/src/rs_command_line.cpp
@@ -3,6 +3,7 @@
 #include <radishspread/config/internal/rs_read_text.hpp>
 #include <radishspread/config/rs_explain.hpp>
 #include <radishspread/config/rs_parse_document.hpp>
+#include <radishspread/config/rs_review_document.hpp>
 
 #include <CLI/CLI.hpp>
 
@@ -18,6 +19,7 @@
 struct arguments {
     std::string settings_file;
     std::vector<std::string> documents; ///< Each as NAME=FILE.
+    std::vector<std::string> in_force;  ///< Each as NAME=FILE.
     std::string caller;
     explain_query query;
 };
@@ -27,6 +29,11 @@
         std::cerr << to_string(each) << '\n';
 }
 
+void print(std::vector<finding> const& findings) {
+    for (auto const& each : findings)
+        std::cout << to_string(each) << '\n';
+}
+
 /// Prints a fault and returns the exit status for invalid input.
 int report_fault(std::string const& file, std::string const& expected) {
     print({{.file = file, .expected = expected}});
@@ -89,10 +96,22 @@
     bool is_valid = true;
     if (!given.settings_file.empty())
         is_valid = load_settings(given.settings_file, which).has_value();
-    if (!given.documents.empty())
-        is_valid = load_document(given.documents).has_value() && is_valid;
+    std::optional<std::vector<section_ptr>> sections;
+    if (!given.documents.empty()) {
+        sections = load_document(given.documents);
+        is_valid = sections.has_value() && is_valid;
+    }
+    std::optional<std::vector<section_ptr>> in_force;
+    if (!given.in_force.empty()) {
+        in_force = load_document(given.in_force);
+        is_valid = in_force.has_value() && is_valid;
+    }
     if (!is_valid)
         return exit_invalid_input;
+    if (sections)
+        print(review_document(*sections));
+    if (sections && in_force)
+        print(compare_documents(*in_force, *sections));
     std::cout << "no faults\n";
     return exit_success;
 }
@@ -135,12 +154,19 @@
 }
 
 CLI::App* add_check(CLI::App& app, arguments& given) {
-    auto* command = app.add_subcommand(
-        "check", "Report all faults of settings or document sections");
+    auto* command = app.add_subcommand("check",
+        "Report all faults of settings or document sections, entries that "
+        "cannot match, and what a document changes");
     auto* group = command->add_option_group("what to check");
     add_settings(*group, given);
-    add_documents(*group, given);
+    auto* documents = add_documents(*group, given);
     group->require_option(1, 0);
+    command
+        ->add_option("--against", given.in_force,
+            "Section in force and the file with its text, to be compared with "
+            "the document; may be repeated")
+        ->type_name("NAME=FILE")
+        ->needs(documents);
     return command;
 }
 
--- a/packages/config/tests/rs_command_line_test.cpp
+++ b/packages/config/tests/rs_command_line_test.cpp
@@ -66,6 +66,23 @@
     }
 };
 
+// Operators published edits without seeing what they changed.
+TEST(command_line, check_lists_what_a_document_changes) {
+    auto const in_force = example_path("balkonbloei/service/orders");
+    auto const next = example_path("nashama/service/entries");
+    CHECK_EQUAL(0, call({"check", "--document", "service/orders=" + in_force,
+                       "--against", "service/orders=" + in_force}));
+    CHECK_EQUAL("no faults\n", out);
+    CHECK_EQUAL(0, call({"check", "--document", "service/entries=" + next,
+                       "--against", "service/orders=" + in_force}));
+    CHECK(out.find("change: service/orders: section is removed\n") !=
+          std::string::npos);
+    CHECK_EQUAL(2, call({"check", "--document", "service/orders=" + in_force,
+                       "--against", "service/orders=" + next}));
+    CHECK_EQUAL(2, call({"check", "--settings", example_path("balancer.yaml"),
+                       "--against", "service/orders=" + in_force}));
+}
+
 // A process that starts with invalid settings would misroute flows or fail
 // later.
 TEST(command_line, run_with_invalid_settings_starts_nothing_and_exits_with_2) {
