--- a/packages/config/src/rs_review_document.cpp
+++ b/packages/config/src/rs_review_document.cpp
@@ -5,6 +5,8 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <variant>
 
 namespace radishspread::config {
 
--- a/packages/core/include/radishspread/core/rs_fleet_view.hpp
+++ b/packages/core/include/radishspread/core/rs_fleet_view.hpp
@@ -91,7 +91,8 @@
 
     /// True while announcements that expired in an outage are written again.
     [[nodiscard]] bool is_recovering(instant now) const {
-        return reachable_since_ != instant{} &&
+        return reachable_since_ - unreachable_since_ >= min_outage &&
+               now >= reachable_since_ &&
                now < reachable_since_ + expiry_grace_period;
     }
 
@@ -161,6 +162,8 @@
     static constexpr duration removed_revision_limit = std::chrono::hours(2);
     static constexpr duration expiry_grace_period =
         std::chrono::milliseconds(2500);
+    /// Announcements do not expire in a shorter outage, such as one lost reply.
+    static constexpr duration min_outage = std::chrono::seconds(1);
     /// Time in which a backend server that lives announces itself again, and
     /// the announcement of one that has left expires.
     static constexpr duration announcer_rewrite_limit = std::chrono::seconds(5);
@@ -255,7 +258,8 @@
     std::uint64_t version_ = 0;
     bool is_reachable_ = true;
     instant reachable_since_;
-    instant last_expiry_at_; ///< Last removal without draining.
+    instant unreachable_since_; ///< Begin of the last outage.
+    instant last_expiry_at_;    ///< Last removal without draining.
     std::uint64_t ignored_items_ = 0;
 };
 
--- a/packages/core/src/rs_fleet_view.cpp
+++ b/packages/core/src/rs_fleet_view.cpp
@@ -220,6 +220,8 @@
 void fleet_view::set_reachable(instant now, bool is_reachable) {
     if (is_reachable && !is_reachable_)
         reachable_since_ = now;
+    if (!is_reachable && is_reachable_)
+        unreachable_since_ = now;
     is_reachable_ = is_reachable;
 }
 
--- a/packages/core/src/rs_opening_queue.cpp
+++ b/packages/core/src/rs_opening_queue.cpp
@@ -31,14 +31,15 @@
 // Accounts are counted anew each time, so nothing has to be kept about callers
 // and the queue's own limit bounds the work.
 bool opening_queue::has_full_share(std::uint32_t account) const {
+    auto const own =
+        static_cast<std::size_t>(std::count_if(waiting_.begin(), waiting_.end(),
+            [&](auto const& it) { return account_of(it) == account; }));
+    if (own < min_share)
+        return false;
     std::vector<std::uint32_t> accounts;
-    accounts.reserve(waiting_.size() + 1);
+    accounts.reserve(waiting_.size());
     for (auto const& it : waiting_)
         accounts.push_back(account_of(it));
-    auto const own = static_cast<std::size_t>(
-        std::count(accounts.begin(), accounts.end(), account));
-    if (own < min_share)
-        return false;
     std::sort(accounts.begin(), accounts.end());
     auto const end = std::unique(accounts.begin(), accounts.end());
     auto const count = static_cast<std::size_t>(end - accounts.begin());
--- a/packages/core/tests/rs_fleet_view_test.cpp
+++ b/packages/core/tests/rs_fleet_view_test.cpp
@@ -162,6 +162,21 @@
 // A peer with an outdated view restored a removed backend server. Without a
 // limit, the revisions of removed items grow without bound at 1,700 replaced
 // hosts per day.
+// Each lost reply would otherwise cost the calls that only an outage is worth.
+TEST(fleet_view, announcements_come_back_only_after_an_outage) {
+    CHECK(!view.is_recovering(at(0)));
+    view.set_reachable(at(100), false);
+    view.set_reachable(at(600), true);
+    CHECK(!view.is_recovering(at(600)));
+    view.set_reachable(at(1000), false);
+    view.set_reachable(at(1500), false);
+    CHECK(!view.is_recovering(at(1900)));
+    view.set_reachable(at(2000), true);
+    CHECK(view.is_recovering(at(2000)));
+    CHECK(view.is_recovering(at(4499)));
+    CHECK(!view.is_recovering(at(4500)));
+}
+
 TEST(fleet_view, removed_items_stay_removed_and_their_revisions_expire) {
     view.apply(at(0), announcement_of(1, 2));
     view.apply(at(1), {.name = "backend/1", .revision = 5});
--- a/packages/runtime/include/radishspread/runtime/rs_view_sources.hpp
+++ b/packages/runtime/include/radishspread/runtime/rs_view_sources.hpp
@@ -40,6 +40,7 @@
             sources_.push_back(make_source(options, n, on_page));
         }
         options.is_on_demand = true;
+        options.first_read_backoff_divisor = 0; // The process has a view then.
         members_reader_ = make_source(options, prefixes_.size() - 1, on_page);
     }
 
