Load the documents of check in one place

Cause: check loaded two documents in the same words, and the comment on what is left out was wrong. Change: an empty list of sections is an empty document.

--- a/packages/config/include/radishspread/config/rs_review_document.hpp
+++ b/packages/config/include/radishspread/config/rs_review_document.hpp
@@ -10,8 +10,8 @@
 namespace radishspread::config {
 
 /// Finds entries of one document that can never match and values that
-/// contradict each other. Sections that are left out are not missed: what
-/// depends on them is not reported.
+/// contradict each other. The document should be whole: hosts and failure
+/// domains of services that are left out count as unused.
 [[nodiscard]] std::vector<finding> review_document(
     std::span<section_ptr const> sections);
 
--- a/packages/config/src/rs_command_line.cpp
+++ b/packages/config/src/rs_command_line.cpp
@@ -96,21 +96,12 @@
     bool is_valid = true;
     if (!given.settings_file.empty())
         is_valid = load_settings(given.settings_file, which).has_value();
-    std::optional<std::vector<section_ptr>> sections;
-    if (!given.documents.empty()) {
-        sections = load_document(given.documents);
-        is_valid = sections.has_value() && is_valid;
-    }
-    std::optional<std::vector<section_ptr>> in_force;
-    if (!given.in_force.empty()) {
-        in_force = load_document(given.in_force);
-        is_valid = in_force.has_value() && is_valid;
-    }
-    if (!is_valid)
+    auto const sections = load_document(given.documents);
+    auto const in_force = load_document(given.in_force);
+    if (!is_valid || !sections || !in_force)
         return exit_invalid_input;
-    if (sections)
-        print(review_document(*sections));
-    if (sections && in_force)
+    print(review_document(*sections));
+    if (!in_force->empty())
         print(compare_documents(*in_force, *sections));
     std::cout << "no faults\n";
     return exit_success;
