--- a/packages/config/include/radishspread/config/rs_finding.hpp
+++ b/packages/config/include/radishspread/config/rs_finding.hpp
@@ -18,7 +18,7 @@
 /// publishing it.
 struct finding {
     finding_kind kind = finding_kind::unused;
-    std::string section; ///< Name of the section.
+    std::string section; ///< Name of the section, route or service.
     std::string text;    ///< The entry and what was found.
 
     friend bool operator==(finding const&, finding const&) = default;
