--- a/packages/config/src/rs_review_routes.cpp
+++ b/packages/config/src/rs_review_routes.cpp
@@ -116,10 +116,10 @@
         for (auto const& it : from.routes) {
             auto const* next = find(to.routes, it.name);
             if (next == nullptr)
-                add(finding_kind::risk, it.name,
-                    "route is removed, its open flows are reset");
+                add(finding_kind::change, it.name, "route is removed");
             else
                 compare(it, *next);
+            check_address(it, to);
         }
         for (auto const& it : to.routes)
             if (find(from.routes, it.name) == nullptr)
@@ -129,11 +129,19 @@
     }
 
 private:
-    void compare(published_route const& from, published_route const& to) {
-        if (from.address != to.address)
+    // Flows belong to an address; a route may be renamed.
+    void check_address(
+        published_route const& from, published_routes const& to) {
+        if (std::ranges::find(to.routes, from.address,
+                &published_route::address) == to.routes.end())
             add(finding_kind::risk, from.name,
-                "address " + to_string(from.address) + " becomes " +
-                    to_string(to.address) + ", open flows are reset");
+                "no route has the address " + to_string(from.address) +
+                    " any more, its open flows are reset");
+    }
+
+    void compare(published_route const& from, published_route const& to) {
+        note(from.name, "address", to_string(from.address),
+            to_string(to.address));
         auto const service = std::string(service_of(from));
         auto const next = std::string(service_of(to));
         note(from.name, "service of new flows", service, next);
--- a/packages/core/include/radishspread/core/internal/rs_opening_queue.hpp
+++ b/packages/core/include/radishspread/core/internal/rs_opening_queue.hpp
@@ -47,8 +47,8 @@
 /// and is returned as soon as more valuable ones take its turn.
 ///
 /// A client account whose openings take more than an equal share of the places
-/// is served after others of the same priority, so that it cannot make all
-/// callers wait.
+/// is served after others of the same priority and work, so that it cannot make
+/// all callers wait.
 class opening_queue {
 public:
     /// Callers abandon an opening `opening_age_limit` after its first copy.
--- a/packages/core/tests/rs_fleet_view_test.cpp
+++ b/packages/core/tests/rs_fleet_view_test.cpp
@@ -159,9 +159,6 @@
         CHECK(!view.is_eligible(at(101), *it));
 }
 
-// A peer with an outdated view restored a removed backend server. Without a
-// limit, the revisions of removed items grow without bound at 1,700 replaced
-// hosts per day.
 // Each lost reply would otherwise cost the calls that only an outage is worth.
 TEST(fleet_view, announcements_come_back_only_after_an_outage) {
     CHECK(!view.is_recovering(at(0)));
@@ -177,6 +174,9 @@
     CHECK(!view.is_recovering(at(4500)));
 }
 
+// A peer with an outdated view restored a removed backend server. Without a
+// limit, the revisions of removed items grow without bound at 1,700 replaced
+// hosts per day.
 TEST(fleet_view, removed_items_stay_removed_and_their_revisions_expire) {
     view.apply(at(0), announcement_of(1, 2));
     view.apply(at(1), {.name = "backend/1", .revision = 5});
