Case 6 of the review: a front machine takes a new manifest back

A script with stand-ins of its own: the store forgets its history while a manifest adds a route, and an agent is restarted in that second.

--- /dev/null
+++ b/review/standins-2/run-case.sh
@@ -0,0 +1,19 @@
+# Runs a driver: run-case.sh NAME; sourced by the run.sh of a case, in whose
+# folder it leaves record.txt. Exits with 2 if the case could not run.
+here=$(cd "$(dirname "${BASH_SOURCE[1]}")" && pwd)
+root=$(cd "$here/../.." && pwd)
+program=target/platform/radishspread-platform
+driver=target/review-2/$1
+
+cd "$root" || exit 2
+if [ ! -x "$program" ] || [ ! -x "$driver" ]; then
+    echo "cannot run: build the deploy file's program and review/build-2.sh" >&2
+    exit 2
+fi
+folder=$(mktemp -d) || exit 2
+trap 'rm -rf "$folder"' EXIT
+timeout --signal=KILL 110 "$driver" "$program" "$folder" "$here/record.txt" \
+    "${TROUBLE:-1}"
+status=$?
+[ "$status" -le 1 ] || status=2
+exit "$status"
