Case 6 of the review: a balancer that lags resets open flows on a new route

A manifest adds a route and a front machine is added, both planned work, 200 ms after the store has cut one front machine's waiting watches; two of three seeds are stale.

--- a/review/standins-2/fleet.hpp
+++ b/review/standins-2/fleet.hpp
@@ -18,6 +18,7 @@
     std::string name;
     std::string zone;
     std::uint32_t ip = 0;
+    address door; ///< Of the store, for this machine.
     std::unique_ptr<child> daemon;
     // Of a `front` machine:
     bool is_in_rotation = false;
@@ -35,8 +36,8 @@
         : log(events, log), program_(std::move(program)),
           folder_(std::move(folder)) {
         choose_ports();
-        store_at_ = {at(9, 1), port(5)};
-        center = std::make_unique<store>(events, store_at_);
+        seeds = {at(1, 1), at(1, 2)};
+        center = std::make_unique<store>(events);
     }
 
     machine& add_front(std::string const& zone) {
@@ -68,6 +69,13 @@
         return it;
     }
 
+    /// Names a seed node that is no longer there: connections to it hang.
+    void add_stale_seed() {
+        auto const ip = at(7, static_cast<unsigned>(seeds.size()) + 1);
+        new_listener({ip, port(2)}); // Never accepts.
+        seeds.push_back(ip);
+    }
+
     client& add_client() {
         auto const ip = at(3, static_cast<unsigned>(clients.size()) + 1);
         clients.push_back(std::make_unique<client>(events, log,
@@ -141,6 +149,7 @@
         return ready[(hash >> 8U) % ready.size()];
     }
 
+    std::vector<std::uint32_t> seeds; ///< Hosts of the seed nodes.
     loop events;
     record log;
     std::unique_ptr<store> center;
@@ -169,6 +178,12 @@
     void add_daemon(
         machine& it, std::string const& role, std::string const& more) {
         auto const file = folder_ + "/" + it.name + ".yaml";
+        it.door = {at(9, ++doors_), port(5)};
+        center->open_door(it.door);
+        std::string peers;
+        for (auto const seed : seeds)
+            peers += (peers.empty() ? "\"" : ", \"") +
+                     text(address{seed, port(6)}) + "\"";
         std::ofstream out(file);
         out << "role: " << role << "\nname: \"" << it.name
             << "\"\nfailure_domain: \"" << it.zone << "\"\npacket_address: \""
@@ -177,11 +192,10 @@
             << "\n"
             << (role == "balancer" ? "link_mbit_per_s: 1000.0\n" : "")
             << "drain_bound_ms: 3000\nmax_item_bytes: 1048576\n"
-               "reads_per_s: 2000\nconfiguration_service: \""
-            << text(store_at_) << "\"\npeers: [\""
-            << text(address{at(1, 1), port(6)}) << "\", \""
-            << text(address{at(1, 2), port(6)}) << "\"]\n"
+            << "reads_per_s: 2000\nconfiguration_service: \"" << text(it.door)
+            << "\"\npeers: [" << peers << "]\n"
             << more;
+        out.close();
         it.daemon = std::make_unique<child>(
             program_, role, file, folder_ + "/" + it.name + ".log");
     }
@@ -241,7 +255,7 @@
     std::string folder_;
     unsigned network_ = 0;
     std::uint16_t port_ = 0;
-    address store_at_;
+    unsigned doors_ = 0;
     datagram_socket router_{events, {ip(127, 0, 0, 1), 0}, [](auto, auto&) {
                             }};
 };
--- a/review/standins-2/loop.hpp
+++ b/review/standins-2/loop.hpp
@@ -175,6 +175,19 @@
     int fd_;
 };
 
+/// A socket that listens for connections.
+inline int new_listener(address const& at) {
+    int const fd =
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    int const on = 1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    auto const name = native(at);
+    if (bind(fd, reinterpret_cast<sockaddr const*>(&name), sizeof name) != 0 ||
+        listen(fd, 128) != 0)
+        cannot_run("no listener at " + text(at));
+    return fd;
+}
+
 /// A program under test.
 class child {
 public:
--- a/review/standins-2/store.hpp
+++ b/review/standins-2/store.hpp
@@ -32,19 +32,28 @@
     /// Time that an answer takes.
     static constexpr ms answer_time{4};
 
-    store(loop& events, address const& at) : loop_(events) {
-        fd_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-        int const on = 1;
-        setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-        auto const name = native(at);
-        if (bind(fd_, reinterpret_cast<sockaddr const*>(&name), sizeof name) ||
-            listen(fd_, 128))
-            cannot_run("no store at " + text(at));
-        loop_.watch(fd_, [this] { accept_call(); });
-    }
+    explicit store(loop& events) : loop_(events) {}
     store(store const&) = delete;
     store& operator=(store const&) = delete;
 
+    /// Opens an address for the calls of one machine.
+    void open_door(address const& at) {
+        int const fd = new_listener(at);
+        loop_.watch(fd, [this, fd, at] { accept_call(fd, at); });
+    }
+
+    /// Cuts the watches that wait at the machine's address, without an answer.
+    void cut_watches(address const& door) {
+        std::list<call_pointer> cut;
+        for (auto const& it : calls_)
+            if (it->door == door)
+                cut.push_back(it);
+        for (auto const& it : cut) {
+            calls_.remove(it);
+            close_call(it);
+        }
+    }
+
     void put(std::string const& key, std::string const& value) {
         auto& it = items_[key];
         it.revision = ++revision_;
@@ -93,6 +102,7 @@
     };
     struct call {
         int fd = -1;
+        address door;
         std::string text;
         std::string prefix;
         std::uint64_t after = 0;
@@ -122,14 +132,15 @@
         return out;
     }
 
-    void accept_call() {
+    void accept_call(int listener, address const& door) {
         for (;;) {
-            int const fd =
-                accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+            int const fd = accept4(
+                listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
             if (fd < 0)
                 return;
             auto const it = std::make_shared<call>();
             it->fd = fd;
+            it->door = door;
             loop_.watch(fd, [this, it] { read_call(it); });
         }
     }
@@ -238,7 +249,6 @@
     }
 
     loop& loop_;
-    int fd_;
     std::map<std::string, item> items_;
     std::vector<change> history_;
     std::uint64_t revision_ = 1;
--- a/review/standins-2/taken_back_manifest.cpp
+++ b/review/standins-2/taken_back_manifest.cpp
@@ -1,29 +1,12 @@
 // The store forgets its history while a manifest adds a route, and a daemon
 // beside a backend is killed. Does a front machine take the new manifest back?
 #include "fleet.hpp"
+#include "manifest.hpp"
 
 using namespace standin;
 
 namespace {
 
-std::string manifest(unsigned version, fleet const& it, unsigned routes) {
-    std::string list;
-    for (unsigned n = 1; n <= routes; ++n)
-        list += std::string(list.empty() ? "" : ",") + R"({"name":"r-)" +
-                std::to_string(n) + R"(","host":")" +
-                text(it.route_address(n).ip) + R"(","prefix":"/)" +
-                std::to_string(it.route_address(n).port) +
-                R"(/","kind":"safe","timeout-ms":2000,"target-latency-ms":200,)"
-                R"("priority":2,"service":"orders","max-attempts":2})";
-    return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" +
-           list +
-           R"(],"services":[{"name":"orders","health-path":"/health",)"
-           R"("max-connections":2000,"protocol":"h1","tls":false,)"
-           R"("warmup-s":0,"warmup-per-s":0}],"limits":{)"
-           R"("max-header-bytes":16384,"max-body-bytes":262144,)"
-           R"("header-timeout-ms":3000,"idle-timeout-ms":15000}})";
-}
-
 /// What was seen of one front machine.
 struct seen {
     instant effect; ///< First opening on the new route at a backend.
@@ -107,16 +90,16 @@
             });
     }
 
-    // Clients use the new route: an opening every 10 ms, each flow kept for
+    // Clients use the new route: an opening every 4 ms, each flow kept for
     // some requests.
     void open_new() {
-        if (++openings_ > 300)
+        if (++openings_ > 500)
             return;
         auto& from = *fleet_.clients[openings_ % 4];
         auto const flow = std::make_shared<client_flow_pointer>();
         *flow = from.open(fleet_.route_address(new_route),
             [this, &from, flow] { ask_again(from, *flow); });
-        fleet_.events.after(ms(10), [this] { open_new(); });
+        fleet_.events.after(ms(4), [this] { open_new(); });
     }
 
     seen* seen_of(flow_key const& key) {
