--- a/review/standins-2/fleet.hpp
+++ b/review/standins-2/fleet.hpp
@@ -119,6 +119,17 @@
         });
     }
 
+    /// The daemon is told to stop, ends, and starts again after a short delay.
+    void roll_daemon(machine& it, ms delay) {
+        log.line("SIGTERM to " + it.name);
+        it.daemon->end(SIGTERM);
+        log.line(it.name + " has ended");
+        events.after(delay, [this, &it] {
+            log.line("start " + it.name);
+            it.daemon->start();
+        });
+    }
+
     /// Polls the daemons' readiness, as the routers do.
     void start_polls() {
         events.every(ms(500), [this] {
