--- a/review/standins-2/run-case.sh
+++ b/review/standins-2/run-case.sh
@@ -13,7 +13,11 @@
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
 timeout --signal=KILL 110 "$driver" "$program" "$folder" "$here/record.txt" \
-    "${TROUBLE:-1}"
+    "${TROUBLE:-1}" &
+running=$!
+# The programs under test end with the driver.
+trap 'kill "$running" 2>/dev/null; exit 2' TERM INT
+wait "$running"
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
