Review: stand-ins and drivers move into the case folders

Cases may stand in review/6 to review/10 only: the shared stand-ins are in review/7/standins now, each driver is the case.cpp of its case.

--- a/review/standins-2/run-case.sh
+++ b/review/7/standins/run-case.sh
@@ -1,9 +1,9 @@
-# Runs a driver: run-case.sh NAME; sourced by the run.sh of a case, in whose
-# folder it leaves record.txt. Exits with 2 if the case could not run.
+# Runs the case in whose folder the run.sh lies that sources this file, and
+# leaves record.txt there. Exits with 2 if the case could not run.
 here=$(cd "$(dirname "${BASH_SOURCE[1]}")" && pwd)
 root=$(cd "$here/../.." && pwd)
 program=target/platform/radishspread-platform
-driver=target/review-2/$1
+driver=target/review-2/case-$(basename "$here")
 
 cd "$root" || exit 2
 if [ ! -x "$program" ] || [ ! -x "$driver" ]; then
